--- /dev/null
+++ b/include/crocuslever/Core.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "crocuslever/AttemptTable.h"
+#include "crocuslever/Configuration.h"
+#include "crocuslever/CoreSettings.h"
+#include "crocuslever/Counters.h"
+#include "crocuslever/EscrowTable.h"
+#include "crocuslever/Events.h"
+#include "crocuslever/JobTable.h"
+#include "crocuslever/MemberTable.h"
+#include "crocuslever/ShardTable.h"
+#include "crocuslever/StoreQueue.h"
+#include "crocuslever/Time.h"
+#include "crocuslever/UpstreamTable.h"
+
+namespace crocuslever {
+
+/// The present time, on both clocks: monotonic for every lease and deadline,
+/// wall for what is written into records.
+struct Instant {
+    TimePoint steady;
+    std::int64_t wallMs { 0 };
+};
+
+using Actions = std::vector<Action>;
+
+/// This instance's lease in the store.
+struct SessionState {
+    SessionId id; ///< Empty while there is none.
+    LeaseId lease { 0 };
+    TimePoint validUntil; ///< Counts from when the renewal was sent.
+    TimePoint nextAttempt;
+    bool requestInFlight { false };
+    bool registered { false }; ///< The member record is known to be in the store.
+    TimePoint lastStoreAnswer; ///< Any answer at all from the store.
+    std::uint64_t lives { 0 }; ///< Sessions begun by this process.
+};
+
+/// The adopted configuration and the document that it came from.
+struct ConfigurationState {
+    std::shared_ptr<const Configuration> current; ///< Never null; revision 0 at start.
+    std::string document;
+    TimePoint confirmedAt; ///< Last proof that it was the newest.
+    std::map<std::string, TeamId> knownKeys; ///< Keys already checked against `current`.
+};
+
+/// An urgent or job call that this entry instance has passed on.
+struct CallRow {
+    CallId id { 0 };
+    TeamId team;
+    bool urgent { false };
+    TaskSpec spec; ///< Urgent only.
+    std::optional<JobCall> job; ///< Jobs only.
+    JobId jobId;
+    InstanceId sentTo;
+    TimePoint deadline;
+    TimePoint nextTry;
+    int tries { 0 };
+    bool sent { false }; ///< An owner may be acting on it.
+    bool callerGone { false };
+    std::vector<InstanceId> refusedBy;
+    RefusalReason lastReason { RefusalReason::None };
+};
+
+using CallTable = std::map<CallId, CallRow>;
+
+/// A job kept by the owner of its shard, with what the store doesn't hold.
+struct JobRow {
+    JobRecord record;
+    std::uint64_t version { 1 }; ///< Rises at each change of the record.
+    std::uint64_t sentVersion { 0 }; ///< Handed to the store queue.
+    std::uint64_t durableVersion { 0 }; ///< Known to be in the store.
+    bool bodyDurable { false };
+    struct Waiter {
+        InstanceId entry;
+        CallId call { 0 };
+    };
+    std::vector<Waiter> waiters; ///< Submitters to answer once it is durable.
+    /// What a task does at present; index as in `record.tasks`.
+    struct TaskProgress {
+        std::optional<Assignment> reserved; ///< Not yet assigned durably.
+        AttemptId asked; ///< Reservation asked for, not answered.
+        TimePoint askedAt;
+        bool startSent { false };
+        bool recovered { false }; ///< Assigned under an earlier owner: ask, don't start.
+        TimePoint nextQuery;
+    };
+    std::vector<TaskProgress> progress;
+    TimePoint nextTry; ///< Backoff.
+    int refusals { 0 }; ///< Reservations refused in a row.
+    TimePoint queuedSince;
+};
+
+using JobTable = std::map<JobId, JobRow>;
+
+/// All that one instance knows. Tables are public: systems are free functions over them.
+struct CoreState {
+    explicit CoreState(const CoreSettings&);
+
+    CoreSettings settings;
+    SessionState session;
+    StoreQueue storeQueue;
+    ConfigurationState configuration;
+    MemberTable members;
+    ShardTable shards;
+    UpstreamTable upstreams;
+    AttemptTable attempts;
+    JobTable jobs;
+    EscrowTable escrow;
+    CallTable calls;
+    Counters counters;
+
+    std::deque<PeerMessage> loopback; ///< Messages to this instance itself.
+    std::map<Ticket, std::string> ranges; ///< Reads in flight: ticket to prefix.
+    bool controlRead { false }; ///< The control keys have been read since the watch began.
+    std::uint64_t nextTicket { 1 };
+    std::uint64_t nextAttemptNumber { 1 };
+    std::uint64_t randomState { 1 };
+    bool shuttingDown { false };
+    bool shutdownReported { false };
+    TimePoint shutdownDeadline;
+    TimePoint nextHeartbeat;
+    TimePoint nextOwnershipPass;
+    TimePoint startedAt;
+};
+
+/// Takes in one event. Appends what the edges are to do to `actions`.
+void handleEvent(CoreState&, const Event&, const Instant& now, Actions& actions);
+
+/// Runs every system once. Called after events and at least every few milliseconds.
+void tick(CoreState&, const Instant& now, Actions& actions);
+
+/// True if this instance takes new work: lease in force and configuration fresh.
+bool isReady(const CoreState&, TimePoint now);
+
+} // namespace crocuslever
--- /dev/null
+++ b/include/crocuslever/MemberTable.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "crocuslever/Comparable.h"
+#include "crocuslever/Ids.h"
+#include "crocuslever/PeerMessages.h"
+#include "crocuslever/StoreProtocol.h"
+#include "crocuslever/Time.h"
+
+namespace crocuslever {
+
+/// What an instance writes of itself into the store, under its lease.
+struct MemberRecord {
+    InstanceId id;
+    SessionId session;
+    std::string address;
+    std::string publicKey;
+    FailureDomainId domain;
+
+    auto tie() const { return std::tie(id, session, address, publicKey, domain); }
+};
+
+/// A live entry instance, this one included.
+struct MemberRow {
+    MemberRecord record;
+    Heartbeat heartbeat; ///< The last one heard.
+    TimePoint lastHeard;
+    bool heard { false };
+};
+
+using MemberTable = std::map<InstanceId, MemberRow>;
+
+} // namespace crocuslever
--- /dev/null
+++ b/include/crocuslever/StoreQueue.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "crocuslever/EscrowTable.h"
+#include "crocuslever/Ids.h"
+#include "crocuslever/ShardTable.h"
+#include "crocuslever/StoreProtocol.h"
+#include "crocuslever/Time.h"
+
+namespace crocuslever {
+
+// What a transaction was for; tells the systems what its outcome means.
+
+struct RegisterPurpose { };
+struct ClaimPurpose {
+    ShardIndex shard { 0 };
+    OwnershipRecord record;
+};
+struct SettlePurpose {
+    ShardIndex shard { 0 };
+    OwnershipRecord record;
+    GrantRecord grants;
+};
+struct ReleasePurpose {
+    ShardIndex shard { 0 };
+    OwnershipRecord record;
+};
+struct GrantPurpose {
+    GrantRecord grants;
+};
+struct JobsPurpose {
+    std::map<JobId, std::uint64_t> versions; ///< Which version of each job it makes durable.
+    std::vector<JobId> withBody;
+    std::vector<JobId> forgotten;
+};
+
+using WritePurpose = std::variant<RegisterPurpose, ClaimPurpose, SettlePurpose, ReleasePurpose, GrantPurpose, JobsPurpose>;
+
+struct PendingWrite {
+    StoreTransaction transaction;
+    WritePurpose purpose;
+};
+
+/// The one lane by which a session changes the store: a transaction at a time,
+/// numbered, so that a lost answer can be resolved without doubt.
+struct StoreQueue {
+    std::uint64_t nextNumber { 1 }; ///< Of the session's next transaction.
+    std::deque<PendingWrite> waiting;
+    std::optional<PendingWrite> inFlight;
+    bool awaitingAnswer { false };
+    TimePoint retryAt;
+    TimePoint nextCommit; ///< Group commits are spaced by the commit interval.
+};
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/core/Ownership.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "crocuslever/Core.h"
+
+namespace crocuslever {
+
+/// Claims, settles and hands over shards.
+void runOwnership(CoreState&, const Instant& now, Actions&);
+/// The instance that ought to own the shard (rendezvous hashing over live members).
+InstanceId wantedOwner(const CoreState&, ShardIndex);
+/// The owner according to the store; empty if there is none.
+InstanceId currentOwner(const CoreState&, ShardIndex);
+/// True if this instance owns the shard and may act on its upstreams now.
+bool mayActOn(const CoreState&, ShardIndex, TimePoint now);
+void handleClaimOutcome(CoreState&, const ClaimPurpose&, bool committed, TimePoint now, Actions&);
+void handleSettleOutcome(CoreState&, const SettlePurpose&, bool committed, TimePoint now, Actions&);
+void handleReleaseOutcome(CoreState&, const ReleasePurpose&, bool committed, TimePoint now, Actions&);
+/// Drops all that is kept under a shard that was lost or handed over.
+void forgetShard(CoreState&, ShardIndex, TimePoint now, Actions&);
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/core/Shares.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "crocuslever/Core.h"
+
+namespace crocuslever {
+
+/// A team's weighted dominant share of the whole cell: its largest fraction of
+/// any resource over its share weight. The team with the lowest goes first.
+double dominantShare(const CoreState&, const TeamId&, TimePoint now);
+/// Fleet-wide running tasks of the team, by the last heartbeats.
+int runningFleetWide(const CoreState&, const TeamId&);
+
+} // namespace crocuslever
