--- a/include/crocuslever/Events.h
+++ b/include/crocuslever/Events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <variant>
 
@@ -25,6 +26,9 @@
     StoreLeaseResult, StoreWatchEvents, StoreWatchLost, UpstreamListUpdate, UpstreamFenceResult,
     UpstreamStartResult, UpstreamSyncResult, UpstreamStopResult, ShutdownRequested>;
 
+/// Where an edge hands its events; called on the daemon's one thread.
+using EventSink = std::function<void(Event)>;
+
 struct PeerSend {
     InstanceId to;
     std::string address; ///< "IP:port" of the peer's port.
