--- /dev/null
+++ b/src/callers/CallerAnswers.cpp
@@ -0,0 +1,159 @@
+#include "src/callers/CallerAnswers.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace crocuslever {
+
+static constexpr int kOk = 200;
+static constexpr int kAccepted = 202;
+static constexpr int kBadRequest = 400;
+static constexpr int kUnauthorized = 401;
+static constexpr int kNotFound = 404;
+static constexpr int kConflict = 409;
+static constexpr int kGone = 410;
+static constexpr int kUnprocessable = 422;
+static constexpr int kTooManyRequests = 429;
+static constexpr int kServiceUnavailable = 503;
+static constexpr int kGatewayTimeout = 504;
+
+static int statusOfRefusal(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::TeamLimit:
+    case RefusalReason::QueueFull:
+        return kTooManyRequests;
+    case RefusalReason::NeverFits:
+        return kUnprocessable;
+    case RefusalReason::Cancelled:
+        return kConflict;
+    default:
+        return kServiceUnavailable;
+    }
+}
+
+static int statusOf(const CallerReply& reply)
+{
+    switch (reply.outcome) {
+    case CallOutcome::Done:
+        return kOk;
+    case CallOutcome::Accepted:
+        return kAccepted;
+    case CallOutcome::NotRun:
+        return statusOfRefusal(reply.reason);
+    case CallOutcome::Unknown:
+        return kGatewayTimeout;
+    case CallOutcome::Invalid:
+        return kBadRequest;
+    case CallOutcome::Unauthorized:
+        return kUnauthorized;
+    case CallOutcome::NotFound:
+        return kNotFound;
+    }
+    return kBadRequest;
+}
+
+static bool isWorthRetrying(int status) { return status == kTooManyRequests || status == kServiceUnavailable; }
+
+static std::string wholeSeconds(Duration duration)
+{
+    // Rounded up: a caller that comes back early is only refused again.
+    std::int64_t seconds = (toMilliseconds(duration) + 999) / 1000;
+    return std::to_string(std::max<std::int64_t>(seconds, 1));
+}
+
+static void addHeaders(HttpAnswer& answer, Duration retryAfter)
+{
+    if (isWorthRetrying(answer.status))
+        answer.headers.emplace_back("Retry-After", wholeSeconds(retryAfter));
+    if (answer.status == kUnauthorized)
+        answer.headers.emplace_back("WWW-Authenticate", "Bearer");
+}
+
+static nlohmann::json toJson(const CallerReply& reply)
+{
+    nlohmann::json value { { "outcome", toString(reply.outcome) }, { "reason", toString(reply.reason) },
+        { "message", reply.message }, { "job", reply.job.value() } };
+    if (reply.retryAfter > Duration::zero())
+        value["retry_after_ms"] = toMilliseconds(reply.retryAfter);
+    return value;
+}
+
+static HttpAnswer jsonAnswer(int status, const nlohmann::json& value, Duration retryAfter)
+{
+    HttpAnswer answer;
+    answer.status = status;
+    answer.contentType = "application/json";
+    answer.body = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    addHeaders(answer, retryAfter);
+    return answer;
+}
+
+static HttpAnswer errorAnswer(const CallerReply& reply)
+{
+    return jsonAnswer(statusOf(reply), toJson(reply), reply.retryAfter);
+}
+
+static HttpAnswer jobAnswer(const CallerReply& reply, int status)
+{
+    nlohmann::json value = toJson(reply);
+    value["state"] = toString(reply.jobState);
+    value["task_status"] = reply.status;
+    return jsonAnswer(status, value, reply.retryAfter);
+}
+
+/// The task's answer byte for byte, with what is known of it in headers.
+static HttpAnswer wholeAnswer(const CallerReply& reply)
+{
+    HttpAnswer answer;
+    answer.status = kOk;
+    answer.contentType = "application/octet-stream";
+    answer.headers.emplace_back("Crocuslever-Outcome", toString(reply.outcome));
+    answer.headers.emplace_back("Crocuslever-Reason", toString(reply.reason));
+    answer.headers.emplace_back("Crocuslever-Task-Status", std::to_string(reply.status));
+    if (!reply.job.isEmpty())
+        answer.headers.emplace_back("Crocuslever-Job", reply.job.value());
+    answer.body = reply.body;
+    return answer;
+}
+
+static HttpAnswer resultAnswer(const CallerReply& reply)
+{
+    if (!isFinal(reply.jobState))
+        return jobAnswer(reply, kAccepted);
+    if (reply.jobState == JobState::OutcomeUnknown)
+        return jobAnswer(reply, kGatewayTimeout);
+    // A job that was cancelled, or failed before a task of it answered, has no result.
+    bool hasResult = reply.jobState == JobState::Succeeded || (reply.jobState == JobState::Failed && reply.status != 0);
+    return hasResult ? wholeAnswer(reply) : jobAnswer(reply, kGone);
+}
+
+HttpAnswer formatReply(const CallerReply& reply, CallKind kind)
+{
+    if (reply.outcome != CallOutcome::Done && reply.outcome != CallOutcome::Accepted)
+        return errorAnswer(reply);
+    switch (kind) {
+    case CallKind::Urgent:
+        return wholeAnswer(reply);
+    case CallKind::Submission:
+        return jobAnswer(reply, kAccepted);
+    case CallKind::Query:
+        return jobAnswer(reply, kOk);
+    case CallKind::Result:
+        return resultAnswer(reply);
+    case CallKind::Cancellation:
+        return jobAnswer(reply, isFinal(reply.jobState) ? kOk : kAccepted);
+    }
+    return errorAnswer(reply);
+}
+
+HttpAnswer formatRefusal(int status, CallOutcome outcome, RefusalReason reason, const std::string& message)
+{
+    CallerReply reply;
+    reply.outcome = outcome;
+    reply.reason = reason;
+    reply.message = message;
+    return jsonAnswer(status, toJson(reply), Duration::zero());
+}
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/callers/CallerRequests.cpp
@@ -0,0 +1,415 @@
+#include "src/callers/CallerRequests.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+#include <optional>
+#include <set>
+
+#include "src/callers/CallerAnswers.h"
+
+namespace crocuslever {
+
+static constexpr std::int64_t kMaximumAmount = 1000000000; ///< Of a resource; far above any upstream.
+static constexpr std::int64_t kMaximumTasks = 10000;
+static constexpr std::int64_t kMaximumAttempts = 100;
+static constexpr std::int64_t kMaximumMilliseconds = 366LL * 24 * 3600 * 1000;
+static constexpr std::size_t kMaximumNameLength = 128;
+static constexpr std::size_t kMaximumKeyLength = 256;
+
+CallKind kindOf(const CallerCall& call)
+{
+    if (std::holds_alternative<UrgentRequest>(call.request))
+        return CallKind::Urgent;
+    if (std::holds_alternative<JobSubmission>(call.request))
+        return CallKind::Submission;
+    if (std::holds_alternative<JobCancellation>(call.request))
+        return CallKind::Cancellation;
+    return std::get<JobQuery>(call.request).wantResult ? CallKind::Result : CallKind::Query;
+}
+
+static HttpAnswer badRequest(const std::string& message)
+{
+    constexpr int kStatus = 400;
+    return formatRefusal(kStatus, CallOutcome::Invalid, RefusalReason::BadRequest, message);
+}
+
+static HttpAnswer unauthorized(const std::string& message)
+{
+    constexpr int kStatus = 401;
+    return formatRefusal(kStatus, CallOutcome::Unauthorized, RefusalReason::None, message);
+}
+
+static HttpAnswer notFound()
+{
+    constexpr int kStatus = 404;
+    return formatRefusal(kStatus, CallOutcome::NotFound, RefusalReason::None, "no such path; see docs/API.md");
+}
+
+static HttpAnswer wrongMethod(const std::string& allowed)
+{
+    constexpr int kStatus = 405;
+    HttpAnswer answer = formatRefusal(kStatus, CallOutcome::Invalid, RefusalReason::BadRequest, "this path takes " + allowed);
+    answer.headers.emplace_back("Allow", allowed);
+    return answer;
+}
+
+static bool isName(const std::string& text)
+{
+    auto isAllowed = [](char c) { return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.'; };
+    return !text.empty() && text.size() <= kMaximumNameLength && std::all_of(text.begin(), text.end(), isAllowed);
+}
+
+static std::optional<std::int64_t> parseInteger(const std::string& text)
+{
+    std::int64_t n = 0;
+    const char* end = text.data() + text.size();
+    std::from_chars_result result = std::from_chars(text.data(), end, n);
+    if (result.ec != std::errc() || result.ptr != end)
+        return std::nullopt;
+    return n;
+}
+
+namespace {
+
+/// Typed reading of named values. Each fault is kept, so that one answer names them all.
+class Fields {
+public:
+    explicit Fields(std::map<std::string, nlohmann::json> values, std::string prefix = {})
+        : m_values(std::move(values))
+        , m_prefix(std::move(prefix))
+    {
+    }
+
+    bool has(const std::string& key) const { return m_values.count(key) > 0; }
+    void addFault(const std::string& key, const std::string& message) { m_faults.push_back(m_prefix + key + ": " + message); }
+    const std::vector<std::string>& faults() const { return m_faults; }
+    void take(const Fields& other) { m_faults.insert(m_faults.end(), other.m_faults.begin(), other.m_faults.end()); }
+
+    const nlohmann::json* find(const std::string& key)
+    {
+        m_asked.insert(key);
+        auto it = m_values.find(key);
+        return it == m_values.end() ? nullptr : &it->second;
+    }
+
+    std::string text(const std::string& key)
+    {
+        const nlohmann::json* value = find(key);
+        if (value && value->is_string())
+            return value->get<std::string>();
+        addFault(key, value ? "must be a string" : "missing");
+        return {};
+    }
+
+    std::string name(const std::string& key)
+    {
+        std::size_t n = m_faults.size();
+        std::string value = text(key);
+        if (m_faults.size() == n && !isName(value))
+            addFault(key, "must be 1 to 128 letters, digits, '-', '_' or '.'");
+        return value;
+    }
+
+    bool boolean(const std::string& key, bool fallback)
+    {
+        const nlohmann::json* value = find(key);
+        if (!value)
+            return fallback;
+        if (!value->is_boolean())
+            addFault(key, "must be true or false");
+        return value->is_boolean() ? value->get<bool>() : fallback;
+    }
+
+    std::int64_t integer(const std::string& key, std::int64_t fallback, std::int64_t least, std::int64_t most)
+    {
+        const nlohmann::json* value = find(key);
+        if (!value)
+            return fallback;
+        if (value->is_number_integer() && isWithin(*value, least, most))
+            return value->get<std::int64_t>();
+        addFault(key, "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+
+    void finish()
+    {
+        for (const auto& [key, value] : m_values) {
+            if (m_asked.count(key) == 0)
+                addFault(key, "unknown key");
+        }
+    }
+
+private:
+    static bool isWithin(const nlohmann::json& value, std::int64_t least, std::int64_t most)
+    {
+        // An unsigned number above the signed range would come out negative.
+        constexpr std::uint64_t kLargest = std::numeric_limits<std::int64_t>::max();
+        if (value.is_number_unsigned() && value.get<std::uint64_t>() > kLargest)
+            return false;
+        std::int64_t n = value.get<std::int64_t>();
+        return n >= least && n <= most;
+    }
+
+    std::map<std::string, nlohmann::json> m_values;
+    std::string m_prefix;
+    std::set<std::string> m_asked;
+    std::vector<std::string> m_faults;
+};
+
+} // namespace
+
+static HttpAnswer refuse(const Fields& fields)
+{
+    std::string joined;
+    for (const std::string& fault : fields.faults())
+        joined += (joined.empty() ? "" : "; ") + fault;
+    return badRequest(joined);
+}
+
+static Resources readResources(Fields& fields)
+{
+    Resources resources = TaskSpec().resources;
+    resources.milliCpu = fields.integer("milli_cpu", resources.milliCpu, 0, kMaximumAmount);
+    resources.memoryMb = fields.integer("memory_mb", resources.memoryMb, 0, kMaximumAmount);
+    resources.accelerators = fields.integer("accelerators", resources.accelerators, 0, kMaximumAmount);
+    return resources;
+}
+
+static std::vector<std::string> split(const std::string& text, char separator)
+{
+    std::vector<std::string> parts;
+    std::size_t from = 0;
+    while (true) {
+        std::size_t at = text.find(separator, from);
+        parts.push_back(text.substr(from, at - from));
+        if (at == std::string::npos)
+            return parts;
+        from = at + 1;
+    }
+}
+
+/// Values of a query string take the type that they look like; none needs an escape.
+static nlohmann::json queryValue(const std::string& text)
+{
+    if (text == "true" || text == "false")
+        return text == "true";
+    std::optional<std::int64_t> n = parseInteger(text);
+    return n ? nlohmann::json(*n) : nlohmann::json(text);
+}
+
+static Fields parseQuery(const std::string& query)
+{
+    std::map<std::string, nlohmann::json> values;
+    std::vector<std::string> twice;
+    for (const std::string& part : split(query, '&')) {
+        std::size_t equals = part.find('=');
+        std::string key = part.substr(0, equals);
+        std::string value = equals == std::string::npos ? std::string() : part.substr(equals + 1);
+        if (!part.empty() && !values.emplace(key, queryValue(value)).second)
+            twice.push_back(key);
+    }
+    Fields fields(std::move(values));
+    for (const std::string& key : twice)
+        fields.addFault(key, "given twice");
+    return fields;
+}
+
+using ParsedRequest = std::variant<CallerCall, HttpAnswer>;
+
+static ParsedRequest parseUrgent(const std::string& service, const std::string& query, const HttpRequest& request)
+{
+    if (!isName(service))
+        return badRequest("service: must be 1 to 128 letters, digits, '-', '_' or '.'");
+    Fields fields = parseQuery(query);
+    TaskSpec spec;
+    spec.kind = WorkKind::Urgent;
+    spec.service = service;
+    spec.idempotent = fields.boolean("idempotent", false);
+    spec.resources = readResources(fields);
+    spec.deadline = fromMilliseconds(fields.integer("deadline_ms", 0, 1, kMaximumMilliseconds));
+    spec.body = request.body;
+    fields.finish();
+    if (!fields.faults().empty())
+        return refuse(fields);
+    CallerCall call;
+    call.request = UrgentRequest { spec };
+    return call;
+}
+
+static WorkKind readKind(Fields& fields)
+{
+    std::size_t n = fields.faults().size();
+    std::string text = fields.text("kind");
+    for (WorkKind kind : { WorkKind::Batch, WorkKind::Gang, WorkKind::Service }) {
+        if (text == toString(kind))
+            return kind;
+    }
+    if (fields.faults().size() == n)
+        fields.addFault("kind", "must be batch, gang or service");
+    return WorkKind::Batch;
+}
+
+static bool isBase64(const std::string& text)
+{
+    // Stricter than the library, which passes over spaces and takes "=" anywhere.
+    static const std::string kAlphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    constexpr std::size_t kMaximumPadding = 2;
+    std::size_t end = text.find_first_not_of(kAlphabet);
+    if (end == std::string::npos)
+        return text.size() % 4 == 0;
+    return text.size() % 4 == 0 && text.size() - end <= kMaximumPadding && text.find_first_not_of('=', end) == std::string::npos;
+}
+
+static std::optional<std::string> decodeBase64(const std::string& text)
+{
+    if (!isBase64(text))
+        return std::nullopt;
+    std::string bytes(text.size() / 4 * 3, '\0');
+    int n = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    if (n < 0)
+        return std::nullopt;
+    std::size_t padding = text.empty() ? 0 : std::count(text.end() - 2, text.end(), '=');
+    bytes.resize(n - padding);
+    return bytes;
+}
+
+static std::string readBody(Fields& fields)
+{
+    if (!fields.has("body_base64"))
+        return fields.has("body") ? fields.text("body") : std::string();
+    if (fields.find("body"))
+        fields.addFault("body", "must be left out with body_base64");
+    std::optional<std::string> bytes = decodeBase64(fields.text("body_base64"));
+    if (!bytes)
+        fields.addFault("body_base64", "must be base64 with its padding");
+    return bytes.value_or(std::string());
+}
+
+static Resources readNestedResources(Fields& fields)
+{
+    const nlohmann::json* value = fields.find("resources");
+    if (!value)
+        return TaskSpec().resources;
+    if (!value->is_object()) {
+        fields.addFault("resources", "must be an object");
+        return TaskSpec().resources;
+    }
+    Fields nested(value->get<std::map<std::string, nlohmann::json>>(), "resources.");
+    Resources resources = readResources(nested);
+    nested.finish();
+    fields.take(nested);
+    return resources;
+}
+
+static TaskSpec readSpec(Fields& fields)
+{
+    TaskSpec spec;
+    spec.kind = readKind(fields);
+    spec.service = fields.name("service");
+    spec.idempotent = fields.boolean("idempotent", false);
+    spec.resources = readNestedResources(fields);
+    spec.taskCount = static_cast<int>(fields.integer("task_count", 1, 1, kMaximumTasks));
+    spec.maximumAttempts = static_cast<int>(fields.integer("maximum_attempts", spec.maximumAttempts, 1, kMaximumAttempts));
+    spec.runTime = fromMilliseconds(fields.integer("run_time_ms", 0, 0, kMaximumMilliseconds));
+    spec.deadline = fromMilliseconds(fields.integer("deadline_ms", 0, 0, kMaximumMilliseconds));
+    spec.body = readBody(fields);
+    if (spec.kind == WorkKind::Batch && spec.taskCount > 1)
+        fields.addFault("task_count", "must be 1 for batch work");
+    return spec;
+}
+
+static ParsedRequest parseSubmission(const HttpRequest& request)
+{
+    nlohmann::json document = nlohmann::json::parse(request.body, nullptr, false);
+    if (document.is_discarded())
+        return badRequest("the body is not JSON");
+    if (!document.is_object())
+        return badRequest("the body must be a JSON object");
+    Fields fields(document.get<std::map<std::string, nlohmann::json>>());
+    JobSubmission submission;
+    submission.idempotencyId = fields.name("id");
+    submission.spec = readSpec(fields);
+    fields.finish();
+    if (!fields.faults().empty())
+        return refuse(fields);
+    CallerCall call;
+    call.request = submission;
+    return call;
+}
+
+static ParsedRequest makeCall(std::variant<UrgentRequest, JobSubmission, JobQuery, JobCancellation> request)
+{
+    CallerCall call;
+    call.request = std::move(request);
+    return call;
+}
+
+static ParsedRequest parseJobRequest(const JobId& job, const HttpRequest& request)
+{
+    if (request.method == "GET")
+        return makeCall(JobQuery { job, false });
+    if (request.method == "DELETE")
+        return makeCall(JobCancellation { job });
+    return wrongMethod("GET, DELETE");
+}
+
+static ParsedRequest parseJobs(const std::vector<std::string>& path, const HttpRequest& request)
+{
+    constexpr std::size_t kWithJob = 4;
+    constexpr std::size_t kWithResult = 5;
+    if (path.size() < kWithJob)
+        return request.method == "POST" ? parseSubmission(request) : wrongMethod("POST");
+    if (!isName(path[3]))
+        return notFound();
+    if (path.size() == kWithJob)
+        return parseJobRequest(JobId(path[3]), request);
+    if (path.size() != kWithResult || path[4] != "result")
+        return notFound();
+    return request.method == "GET" ? makeCall(JobQuery { JobId(path[3]), true }) : wrongMethod("GET");
+}
+
+static ParsedRequest route(const HttpRequest& request)
+{
+    std::size_t mark = request.target.find('?');
+    std::vector<std::string> path = split(request.target.substr(0, mark), '/');
+    std::string query = mark == std::string::npos ? std::string() : request.target.substr(mark + 1);
+    // "/v1/urgent/x" splits into "", "v1", "urgent" and "x".
+    if (path.size() < 3 || !path[0].empty() || path[1] != "v1")
+        return notFound();
+    if (path[2] == "urgent" && path.size() == 4)
+        return request.method == "POST" ? parseUrgent(path[3], query, request) : wrongMethod("POST");
+    if (path[2] != "jobs")
+        return notFound();
+    if (!query.empty())
+        return badRequest(query.substr(0, query.find('=')) + ": unknown key");
+    return parseJobs(path, request);
+}
+
+static std::optional<std::string> readKey(const std::string& authorization)
+{
+    static const std::string kScheme = "Bearer ";
+    if (authorization.compare(0, kScheme.size(), kScheme) != 0)
+        return std::nullopt;
+    std::string key = authorization.substr(kScheme.size());
+    std::size_t dot = key.find('.');
+    if (dot == 0 || dot == std::string::npos || dot + 1 == key.size() || key.size() > kMaximumKeyLength)
+        return std::nullopt;
+    return key;
+}
+
+ParsedRequest parseCallerRequest(const HttpRequest& request)
+{
+    std::optional<std::string> key = readKey(request.authorization);
+    if (!key)
+        return unauthorized("show a key: \"Authorization: Bearer ID.SECRET\"");
+    ParsedRequest parsed = route(request);
+    if (CallerCall* call = std::get_if<CallerCall>(&parsed))
+        call->key = *key;
+    return parsed;
+}
+
+} // namespace crocuslever
--- a/src/callers/CallerServerSettings.h
+++ b/src/callers/CallerServerSettings.h
@@ -10,7 +10,7 @@
 /// Where callers are listened to, and what bounds each of them.
 struct CallerServerSettings {
     std::string listenAddress; ///< "IP:port"; port 0 takes any free one.
-    std::int64_t maximumBodyBytes { 65536 };
+    std::int64_t maximumBodyBytes { 262144 }; ///< As sent; the configuration bounds the work's own body.
     std::int64_t maximumHeaderBytes { 8192 };
     int maximumConnections { 2000 };
     int maximumCalls { 1000 }; ///< In flight at once.
--- /dev/null
+++ b/src/callers/HttpMessages.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocuslever {
+
+/// A whole request, as far as the API looks at it.
+struct HttpRequest {
+    std::string method;
+    std::string target; ///< Path and query.
+    std::string authorization; ///< Value of the header; may be empty.
+    std::string body;
+};
+
+struct HttpAnswer {
+    int status { 200 };
+    std::string contentType;
+    std::vector<std::pair<std::string, std::string>> headers; ///< Besides type, length and connection.
+    std::string body;
+};
+
+} // namespace crocuslever
