--- a/src/callers/CallerAnswers.cpp
+++ b/src/callers/CallerAnswers.cpp
@@ -62,7 +62,7 @@
     return std::to_string(std::max<std::int64_t>(seconds, 1));
 }
 
-static void addHeaders(HttpAnswer& answer, Duration retryAfter)
+static void addHeaders(CallerHttpAnswer& answer, Duration retryAfter)
 {
     if (isWorthRetrying(answer.status))
         answer.headers.emplace_back("Retry-After", wholeSeconds(retryAfter));
@@ -79,9 +79,9 @@
     return value;
 }
 
-static HttpAnswer jsonAnswer(int status, const nlohmann::json& value, Duration retryAfter)
+static CallerHttpAnswer jsonAnswer(int status, const nlohmann::json& value, Duration retryAfter)
 {
-    HttpAnswer answer;
+    CallerHttpAnswer answer;
     answer.status = status;
     answer.contentType = "application/json";
     answer.body = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
@@ -89,12 +89,12 @@
     return answer;
 }
 
-static HttpAnswer errorAnswer(const CallerReply& reply)
+static CallerHttpAnswer errorAnswer(const CallerReply& reply)
 {
     return jsonAnswer(statusOf(reply), toJson(reply), reply.retryAfter);
 }
 
-static HttpAnswer jobAnswer(const CallerReply& reply, int status)
+static CallerHttpAnswer jobAnswer(const CallerReply& reply, int status)
 {
     nlohmann::json value = toJson(reply);
     value["state"] = toString(reply.jobState);
@@ -103,9 +103,9 @@
 }
 
 /// The task's answer byte for byte, with what is known of it in headers.
-static HttpAnswer wholeAnswer(const CallerReply& reply)
+static CallerHttpAnswer wholeAnswer(const CallerReply& reply)
 {
-    HttpAnswer answer;
+    CallerHttpAnswer answer;
     answer.status = kOk;
     answer.contentType = "application/octet-stream";
     answer.headers.emplace_back("Crocuslever-Outcome", toString(reply.outcome));
@@ -117,7 +117,7 @@
     return answer;
 }
 
-static HttpAnswer resultAnswer(const CallerReply& reply)
+static CallerHttpAnswer resultAnswer(const CallerReply& reply)
 {
     if (!isFinal(reply.jobState))
         return jobAnswer(reply, kAccepted);
@@ -128,7 +128,7 @@
     return hasResult ? wholeAnswer(reply) : jobAnswer(reply, kGone);
 }
 
-HttpAnswer formatReply(const CallerReply& reply, CallKind kind)
+CallerHttpAnswer formatReply(const CallerReply& reply, CallKind kind)
 {
     if (reply.outcome != CallOutcome::Done && reply.outcome != CallOutcome::Accepted)
         return errorAnswer(reply);
@@ -147,7 +147,7 @@
     return errorAnswer(reply);
 }
 
-HttpAnswer formatRefusal(int status, CallOutcome outcome, RefusalReason reason, const std::string& message)
+CallerHttpAnswer formatRefusal(int status, CallOutcome outcome, RefusalReason reason, const std::string& message)
 {
     CallerReply reply;
     reply.outcome = outcome;
--- a/src/callers/HttpMessages.h
+++ b/src/callers/CallerHttp.h
@@ -7,14 +7,14 @@
 namespace crocuslever {
 
 /// A whole request, as far as the API looks at it.
-struct HttpRequest {
+struct CallerHttpRequest {
     std::string method;
     std::string target; ///< Path and query.
     std::string authorization; ///< Value of the header; may be empty.
     std::string body;
 };
 
-struct HttpAnswer {
+struct CallerHttpAnswer {
     int status { 200 };
     std::string contentType;
     std::vector<std::pair<std::string, std::string>> headers; ///< Besides type, length and connection.
--- a/src/callers/CallerRequests.cpp
+++ b/src/callers/CallerRequests.cpp
@@ -15,7 +15,7 @@
 
 static constexpr std::int64_t kMaximumAmount = 1000000000; ///< Of a resource; far above any upstream.
 static constexpr std::int64_t kMaximumTasks = 10000;
-static constexpr std::int64_t kMaximumAttempts = 100;
+static constexpr std::int64_t kMaximumAttempts = 100; ///< Also of work that names none: the configuration bounds it.
 static constexpr std::int64_t kMaximumMilliseconds = 366LL * 24 * 3600 * 1000;
 static constexpr std::size_t kMaximumNameLength = 128;
 static constexpr std::size_t kMaximumKeyLength = 256;
@@ -31,28 +31,28 @@
     return std::get<JobQuery>(call.request).wantResult ? CallKind::Result : CallKind::Query;
 }
 
-static HttpAnswer badRequest(const std::string& message)
+static CallerHttpAnswer badRequest(const std::string& message)
 {
     constexpr int kStatus = 400;
     return formatRefusal(kStatus, CallOutcome::Invalid, RefusalReason::BadRequest, message);
 }
 
-static HttpAnswer unauthorized(const std::string& message)
+static CallerHttpAnswer unauthorized(const std::string& message)
 {
     constexpr int kStatus = 401;
     return formatRefusal(kStatus, CallOutcome::Unauthorized, RefusalReason::None, message);
 }
 
-static HttpAnswer notFound()
+static CallerHttpAnswer notFound()
 {
     constexpr int kStatus = 404;
     return formatRefusal(kStatus, CallOutcome::NotFound, RefusalReason::None, "no such path; see docs/API.md");
 }
 
-static HttpAnswer wrongMethod(const std::string& allowed)
+static CallerHttpAnswer wrongMethod(const std::string& allowed)
 {
     constexpr int kStatus = 405;
-    HttpAnswer answer = formatRefusal(kStatus, CallOutcome::Invalid, RefusalReason::BadRequest, "this path takes " + allowed);
+    CallerHttpAnswer answer = formatRefusal(kStatus, CallOutcome::Invalid, RefusalReason::BadRequest, "this path takes " + allowed);
     answer.headers.emplace_back("Allow", allowed);
     return answer;
 }
@@ -162,7 +162,7 @@
 
 } // namespace
 
-static HttpAnswer refuse(const Fields& fields)
+static CallerHttpAnswer refuse(const Fields& fields)
 {
     std::string joined;
     for (const std::string& fault : fields.faults())
@@ -170,9 +170,13 @@
     return badRequest(joined);
 }
 
+/// Work that names no amount gets the configuration's; zeros say so to the core.
+static const Resources kUndeclared { 0, 0, 0, 1 };
+
 static Resources readResources(Fields& fields)
 {
-    Resources resources = TaskSpec().resources;
+    bool isDeclared = fields.has("milli_cpu") || fields.has("memory_mb") || fields.has("accelerators");
+    Resources resources = isDeclared ? TaskSpec().resources : kUndeclared;
     resources.milliCpu = fields.integer("milli_cpu", resources.milliCpu, 0, kMaximumAmount);
     resources.memoryMb = fields.integer("memory_mb", resources.memoryMb, 0, kMaximumAmount);
     resources.accelerators = fields.integer("accelerators", resources.accelerators, 0, kMaximumAmount);
@@ -218,9 +222,9 @@
     return fields;
 }
 
-using ParsedRequest = std::variant<CallerCall, HttpAnswer>;
+using ParsedRequest = std::variant<CallerCall, CallerHttpAnswer>;
 
-static ParsedRequest parseUrgent(const std::string& service, const std::string& query, const HttpRequest& request)
+static ParsedRequest parseUrgent(const std::string& service, const std::string& query, const CallerHttpRequest& request)
 {
     if (!isName(service))
         return badRequest("service: must be 1 to 128 letters, digits, '-', '_' or '.'");
@@ -293,10 +297,10 @@
 {
     const nlohmann::json* value = fields.find("resources");
     if (!value)
-        return TaskSpec().resources;
+        return kUndeclared;
     if (!value->is_object()) {
         fields.addFault("resources", "must be an object");
-        return TaskSpec().resources;
+        return kUndeclared;
     }
     Fields nested(value->get<std::map<std::string, nlohmann::json>>(), "resources.");
     Resources resources = readResources(nested);
@@ -313,7 +317,7 @@
     spec.idempotent = fields.boolean("idempotent", false);
     spec.resources = readNestedResources(fields);
     spec.taskCount = static_cast<int>(fields.integer("task_count", 1, 1, kMaximumTasks));
-    spec.maximumAttempts = static_cast<int>(fields.integer("maximum_attempts", spec.maximumAttempts, 1, kMaximumAttempts));
+    spec.maximumAttempts = static_cast<int>(fields.integer("maximum_attempts", kMaximumAttempts, 1, kMaximumAttempts));
     spec.runTime = fromMilliseconds(fields.integer("run_time_ms", 0, 0, kMaximumMilliseconds));
     spec.deadline = fromMilliseconds(fields.integer("deadline_ms", 0, 0, kMaximumMilliseconds));
     spec.body = readBody(fields);
@@ -322,7 +326,7 @@
     return spec;
 }
 
-static ParsedRequest parseSubmission(const HttpRequest& request)
+static ParsedRequest parseSubmission(const CallerHttpRequest& request)
 {
     nlohmann::json document = nlohmann::json::parse(request.body, nullptr, false);
     if (document.is_discarded())
@@ -348,7 +352,7 @@
     return call;
 }
 
-static ParsedRequest parseJobRequest(const JobId& job, const HttpRequest& request)
+static ParsedRequest parseJobRequest(const JobId& job, const CallerHttpRequest& request)
 {
     if (request.method == "GET")
         return makeCall(JobQuery { job, false });
@@ -357,7 +361,7 @@
     return wrongMethod("GET, DELETE");
 }
 
-static ParsedRequest parseJobs(const std::vector<std::string>& path, const HttpRequest& request)
+static ParsedRequest parseJobs(const std::vector<std::string>& path, const CallerHttpRequest& request)
 {
     constexpr std::size_t kWithJob = 4;
     constexpr std::size_t kWithResult = 5;
@@ -372,7 +376,7 @@
     return request.method == "GET" ? makeCall(JobQuery { JobId(path[3]), true }) : wrongMethod("GET");
 }
 
-static ParsedRequest route(const HttpRequest& request)
+static ParsedRequest route(const CallerHttpRequest& request)
 {
     std::size_t mark = request.target.find('?');
     std::vector<std::string> path = split(request.target.substr(0, mark), '/');
@@ -401,7 +405,7 @@
     return key;
 }
 
-ParsedRequest parseCallerRequest(const HttpRequest& request)
+ParsedRequest parseCallerRequest(const CallerHttpRequest& request)
 {
     std::optional<std::string> key = readKey(request.authorization);
     if (!key)
--- a/src/callers/CallerRequests.h
+++ b/src/callers/CallerRequests.h
@@ -4,7 +4,7 @@
 #include <variant>
 
 #include "crocuslever/CallerProtocol.h"
-#include "src/callers/HttpMessages.h"
+#include "src/callers/CallerHttp.h"
 
 namespace crocuslever {
 
@@ -21,6 +21,6 @@
 
 /// Reads a request of the caller API (docs/API.md): a call without its id, or
 /// the answer that refuses it.
-std::variant<CallerCall, HttpAnswer> parseCallerRequest(const HttpRequest&);
+std::variant<CallerCall, CallerHttpAnswer> parseCallerRequest(const CallerHttpRequest&);
 
 } // namespace crocuslever
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -93,7 +93,7 @@
 
     void awaitRequest();
     void refuse();
-    void answer(HttpAnswer);
+    void answer(CallerHttpAnswer);
     /// Closes a connection that waits for its next request. One that waits for
     /// its first is left alone unless `unusedToo`.
     void closeIfIdle(bool unusedToo);
@@ -116,7 +116,7 @@
     void readBody();
     void onRequest(error_code, std::size_t);
     void failRead(error_code);
-    void dispatch(const HttpRequest&);
+    void dispatch(const CallerHttpRequest&);
     bool answerOperational(const std::string& method, const std::string& target);
     void startCall(CallerCall);
     void watchForClose();
@@ -193,7 +193,7 @@
     http::async_read(m_stream, m_buffer, *m_parser, beast::bind_front_handler(&Connection::onRequest, shared_from_this()));
 }
 
-static HttpAnswer answerToBadRead(error_code ec)
+static CallerHttpAnswer answerToBadRead(error_code ec)
 {
     constexpr int kBadRequest = 400;
     constexpr int kTooLarge = 413;
@@ -224,7 +224,7 @@
     m_isHead = message.method() == http::verb::head;
     m_used = true;
     ++m_state->requests;
-    HttpRequest request;
+    CallerHttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.authorization = std::string(message[http::field::authorization]);
@@ -232,35 +232,35 @@
     dispatch(request);
 }
 
-void Connection::dispatch(const HttpRequest& request)
+void Connection::dispatch(const CallerHttpRequest& request)
 {
     m_phase = Phase::Waiting;
     if (answerOperational(request.method, request.target))
         return;
-    std::variant<CallerCall, HttpAnswer> parsed = parseCallerRequest(request);
-    if (HttpAnswer* refusal = std::get_if<HttpAnswer>(&parsed))
+    std::variant<CallerCall, CallerHttpAnswer> parsed = parseCallerRequest(request);
+    if (CallerHttpAnswer* refusal = std::get_if<CallerHttpAnswer>(&parsed))
         return answer(std::move(*refusal));
     startCall(std::move(std::get<CallerCall>(parsed)));
 }
 
-static HttpAnswer plainAnswer(int status, std::string text)
+static CallerHttpAnswer plainAnswer(int status, std::string text)
 {
-    HttpAnswer answer;
+    CallerHttpAnswer answer;
     answer.status = status;
     answer.contentType = "text/plain; charset=utf-8";
     answer.body = std::move(text);
     return answer;
 }
 
-static HttpAnswer readyAnswer(bool isReady)
+static CallerHttpAnswer readyAnswer(bool isReady)
 {
     constexpr int kNotReady = 503;
     return isReady ? plainAnswer(200, "ready\n") : plainAnswer(kNotReady, "not ready\n");
 }
 
-static HttpAnswer statusAnswer(std::string json)
+static CallerHttpAnswer statusAnswer(std::string json)
 {
-    HttpAnswer answer = plainAnswer(200, std::move(json));
+    CallerHttpAnswer answer = plainAnswer(200, std::move(json));
     answer.contentType = "application/json";
     return answer;
 }
@@ -283,7 +283,7 @@
     return true;
 }
 
-static HttpAnswer overloaded(const std::string& message)
+static CallerHttpAnswer overloaded(const std::string& message)
 {
     constexpr int kStatus = 503;
     return formatRefusal(kStatus, CallOutcome::NotRun, RefusalReason::Overloaded, message);
@@ -341,7 +341,7 @@
     m_state->sink(CallerGone { call });
 }
 
-void Connection::answer(HttpAnswer answer)
+void Connection::answer(CallerHttpAnswer answer)
 {
     m_phase = Phase::Writing;
     m_response = {};
--- /dev/null
+++ b/src/daemon/Logging.cpp
@@ -0,0 +1,90 @@
+#include "src/daemon/Logging.h"
+
+#include <ctime>
+#include <nlohmann/json.hpp>
+#include <spdlog/logger.h>
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+namespace crocuslever {
+
+static const char* toString(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        return "error";
+    }
+    return "info";
+}
+
+static std::string formatWallTime(std::int64_t wallMs)
+{
+    constexpr std::int64_t kMillisecondsPerSecond = 1000;
+    std::time_t seconds = wallMs / kMillisecondsPerSecond;
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    char buf[32];
+    std::size_t n = std::strftime(buf, sizeof buf, "%Y-%m-%dT%H:%M:%S", &parts);
+    std::string milliseconds = std::to_string(kMillisecondsPerSecond + wallMs % kMillisecondsPerSecond);
+    return std::string(buf, n) + "." + milliseconds.substr(1) + "Z";
+}
+
+std::string formatLogLine(const LogLine& line, const InstanceId& instance, std::int64_t wallMs)
+{
+    nlohmann::ordered_json value;
+    value["time"] = formatWallTime(wallMs);
+    value["level"] = toString(line.level);
+    value["instance"] = instance.value();
+    value["step"] = line.step;
+    value["peer"] = line.peer;
+    value["job"] = line.job;
+    value["message"] = line.message;
+    // A message may hold bytes from outside; they must not break the line or stop the daemon.
+    return value.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+Logger::Logger(InstanceId instance, LogLevel least, std::shared_ptr<spdlog::logger> logger)
+    : m_instance(std::move(instance))
+    , m_least(least)
+    , m_logger(std::move(logger))
+{
+}
+
+static std::shared_ptr<spdlog::sinks::sink> openSink(const std::string& fileName)
+{
+    if (fileName.empty())
+        return std::make_shared<spdlog::sinks::stderr_sink_st>();
+    return std::make_shared<spdlog::sinks::basic_file_sink_st>(fileName);
+}
+
+Result<Logger> Logger::open(const InstanceId& instance, LogLevel least, const std::string& fileName)
+{
+    try {
+        std::shared_ptr<spdlog::logger> logger = std::make_shared<spdlog::logger>("crocuslever", openSink(fileName));
+        logger->set_pattern("%v", spdlog::pattern_time_type::utc);
+        logger->set_level(spdlog::level::trace);
+        logger->flush_on(spdlog::level::trace);
+        return Logger(instance, least, std::move(logger));
+    } catch (const spdlog::spdlog_ex& e) {
+        return Error { ErrorCode::Unavailable, "log.open", {}, e.what() };
+    }
+}
+
+void Logger::write(const LogLine& line, std::int64_t wallMs)
+{
+    if (line.level >= m_least)
+        m_logger->info(formatLogLine(line, m_instance, wallMs));
+}
+
+void Logger::write(LogLevel level, const Error& error, std::int64_t wallMs)
+{
+    write({ level, error.step, error.peer, {}, error.message }, wallMs);
+}
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/daemon/Logging.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "crocuslever/Error.h"
+#include "crocuslever/Events.h"
+#include "crocuslever/Ids.h"
+
+namespace spdlog {
+class logger;
+}
+
+namespace crocuslever {
+
+/// One JSON object on one line: time, level, instance, step, peer, job, message.
+std::string formatLogLine(const LogLine&, const InstanceId&, std::int64_t wallMs);
+
+/// Writes JSON lines to a file or to standard error.
+class Logger {
+public:
+    /// An empty file name means standard error.
+    static Result<Logger> open(const InstanceId&, LogLevel least, const std::string& fileName);
+
+    void write(const LogLine&, std::int64_t wallMs);
+    void write(LogLevel, const Error&, std::int64_t wallMs);
+
+private:
+    Logger(InstanceId, LogLevel, std::shared_ptr<spdlog::logger>);
+
+    InstanceId m_instance;
+    LogLevel m_least;
+    std::shared_ptr<spdlog::logger> m_logger;
+};
+
+} // namespace crocuslever
--- a/tests/CallerServerTest.cpp
+++ b/tests/CallerServerTest.cpp
@@ -274,12 +274,22 @@
 
 BOOST_AUTO_TEST_CASE(BytesThatAreNoTextGoInBase64)
 {
-    HttpRequest request { "POST", "/v1/jobs", "Bearer k1.s", R"({"id":"a","kind":"batch","service":"s","body_base64":"AP8K"})" };
-    std::variant<CallerCall, HttpAnswer> parsed = parseCallerRequest(request);
+    CallerHttpRequest request { "POST", "/v1/jobs", "Bearer k1.s", R"({"id":"a","kind":"batch","service":"s","body_base64":"AP8K"})" };
+    std::variant<CallerCall, CallerHttpAnswer> parsed = parseCallerRequest(request);
     BOOST_REQUIRE(std::holds_alternative<CallerCall>(parsed));
     BOOST_TEST(std::get<JobSubmission>(std::get<CallerCall>(parsed).request).spec.body == std::string("\0\xff\n", 3));
 }
 
+BOOST_AUTO_TEST_CASE(WhatIsNotDeclaredIsLeftToTheConfiguration)
+{
+    std::variant<CallerCall, CallerHttpAnswer> parsed = parseCallerRequest({ "POST", "/v1/jobs", "Bearer k1.s", R"({"id":"a","kind":"batch","service":"s"})" });
+    BOOST_REQUIRE(std::holds_alternative<CallerCall>(parsed));
+    TaskSpec spec = std::get<JobSubmission>(std::get<CallerCall>(parsed).request).spec;
+    BOOST_TEST((spec.resources == Resources { 0, 0, 0, 1 }));
+    BOOST_TEST(spec.maximumAttempts == 100);
+    BOOST_TEST(!spec.idempotent);
+}
+
 struct JobPath {
     const char* method;
     const char* target;
@@ -294,7 +304,7 @@
         { "DELETE", "/v1/jobs/abc", CallKind::Cancellation },
     };
     for (const JobPath& path : kPaths) {
-        std::variant<CallerCall, HttpAnswer> parsed = parseCallerRequest({ path.method, path.target, "Bearer k1.s", {} });
+        std::variant<CallerCall, CallerHttpAnswer> parsed = parseCallerRequest({ path.method, path.target, "Bearer k1.s", {} });
         BOOST_REQUIRE(std::holds_alternative<CallerCall>(parsed));
         BOOST_TEST((kindOf(std::get<CallerCall>(parsed)) == path.kind), path.target);
     }
@@ -388,9 +398,9 @@
 
 BOOST_AUTO_TEST_CASE(AllFaultsOfASubmissionAreNamedAtOnce)
 {
-    std::variant<CallerCall, HttpAnswer> parsed = parseCallerRequest({ "POST", "/v1/jobs", kGood, R"({"kind":"x","resources":{"memory_mb":"1"}})" });
-    BOOST_REQUIRE(std::holds_alternative<HttpAnswer>(parsed));
-    std::string body = std::get<HttpAnswer>(parsed).body;
+    std::variant<CallerCall, CallerHttpAnswer> parsed = parseCallerRequest({ "POST", "/v1/jobs", kGood, R"({"kind":"x","resources":{"memory_mb":"1"}})" });
+    BOOST_REQUIRE(std::holds_alternative<CallerHttpAnswer>(parsed));
+    std::string body = std::get<CallerHttpAnswer>(parsed).body;
     for (const char* key : { "id: missing", "kind: must", "service: missing", "resources.memory_mb: must" })
         BOOST_TEST(body.find(key) != std::string::npos, key);
 }
@@ -655,7 +665,7 @@
         reply.status = form.taskStatus;
         reply.body = "whole";
         reply.retryAfter = std::chrono::milliseconds(1200);
-        HttpAnswer answer = formatReply(reply, form.kind);
+        CallerHttpAnswer answer = formatReply(reply, form.kind);
         BOOST_TEST_CONTEXT(toString(form.outcome) << " " << toString(form.reason) << " " << toString(form.state))
         {
             BOOST_TEST(answer.status == form.status);
