--- a/src/core/Placement.h
+++ b/src/core/Placement.h
@@ -28,5 +28,7 @@
 
 /// True if no listed upstream of the whole cell is large enough, even when empty.
 bool neverFits(const CoreState&, const Resources&);
+/// The same for one kind: deferred work leaves the headroom for urgent work free.
+bool neverFits(const CoreState&, WorkKind, const Resources&);
 
 } // namespace crocuslever
--- /dev/null
+++ b/src/core/Shares.cpp
@@ -0,0 +1,48 @@
+#include "src/core/Shares.h"
+
+#include <algorithm>
+
+#include "src/core/Peers.h"
+
+namespace crocuslever {
+
+/// Heartbeats list their teams in order of id.
+static const TeamUsage* findUsage(const Heartbeat& beat, const TeamId& team)
+{
+    auto it = std::lower_bound(beat.teams.begin(), beat.teams.end(), team,
+        [](const TeamUsage& usage, const TeamId& id) { return usage.team < id; });
+    return it != beat.teams.end() && it->team == team ? &*it : nullptr;
+}
+
+static double shareWeight(const CoreState& state, const TeamId& id)
+{
+    const Team* team = state.configuration.current->findTeam(id);
+    return team && team->shareWeight > 0 ? team->shareWeight : 1;
+}
+
+double dominantShare(const CoreState& state, const TeamId& team, TimePoint now)
+{
+    Resources used { 0, 0, 0, 0 };
+    Resources capacity { 0, 0, 0, 0 };
+    for (const auto& [id, member] : state.members) {
+        // A silent member's last numbers may be of shards that others report by now.
+        if (!isPeerUp(state, id, now))
+            continue;
+        capacity = capacity + member.heartbeat.capacity;
+        if (const TeamUsage* usage = findUsage(member.heartbeat, team))
+            used = used + usage->used;
+    }
+    return dominantFraction(used, capacity) / shareWeight(state, team);
+}
+
+int runningFleetWide(const CoreState& state, const TeamId& team)
+{
+    int n = 0;
+    for (const auto& [id, member] : state.members) {
+        if (const TeamUsage* usage = findUsage(member.heartbeat, team))
+            n += usage->running;
+    }
+    return n;
+}
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/core/UpstreamAnswers.cpp
@@ -0,0 +1,414 @@
+// What upstreams answer. Every answer is matched on upstream, epoch,
+// incarnation, attempt and phase; one that is late, doubled or of another life
+// is counted and changes nothing.
+
+#include <algorithm>
+
+#include "src/core/Ownership.h"
+#include "src/core/Peers.h"
+#include "src/core/Reservations.h"
+#include "src/core/UpstreamIndex.h"
+#include "src/core/Upstreams.h"
+#include "src/core/Urgent.h"
+
+namespace crocuslever {
+
+static void noteAnswer(UpstreamRow& row, TimePoint now)
+{
+    row.reachable = true;
+    row.lastAnswer = now;
+    row.fenceTries = 0;
+}
+
+static void noteSilence(CoreState& state, UpstreamRow& row, TimePoint now)
+{
+    row.reachable = false;
+    scheduleUpstream(state, row, now + retryPause(state, row.fenceTries++));
+}
+
+/// The shard has another owner by now; the watch will tell.
+static void noteStaleEpoch(CoreState& state, UpstreamRow& row, Actions& actions)
+{
+    row.staleEpoch = state.shards[row.shard].record.epoch;
+    row.fenced = false;
+    indexUpstream(state, row);
+    state.counters.add("stale_epochs_total");
+    logTo(actions, LogLevel::Warning, "upstreams", "another owner has fenced it", row.description.id.value());
+}
+
+/// The upstream restarted: what runs there now has to be learnt by a fence.
+static void noteRestart(CoreState& state, UpstreamRow& row, TimePoint now, Actions& actions)
+{
+    row.fenced = false;
+    indexUpstream(state, row);
+    scheduleUpstream(state, row, now);
+    logTo(actions, LogLevel::Warning, "upstreams", "it was restarted", row.description.id.value());
+}
+
+// States.
+
+static AttemptRow describeAdopted(const UpstreamRow& row, const AttemptStatus& status)
+{
+    AttemptRow attempt;
+    attempt.id = status.attempt;
+    attempt.job = status.job;
+    attempt.team = status.team;
+    attempt.kind = status.job.isEmpty() ? WorkKind::Urgent : WorkKind::Batch;
+    attempt.upstream = row.description.id;
+    attempt.incarnation = row.incarnation;
+    attempt.shard = row.shard;
+    attempt.epoch = row.fencedEpoch;
+    return attempt;
+}
+
+static void adoptRunning(CoreState& state, const UpstreamRow& row, const AttemptStatus& status, TimePoint now)
+{
+    AttemptRow attempt = describeAdopted(row, status);
+    attempt.phase = AttemptPhase::Running;
+    attempt.charged = maximum(status.resources, Resources { 0, 0, 0, 1 });
+    attempt.leaseUntil = now + status.leaseLeft;
+    AttemptRow& added = addAttempt(state, std::move(attempt), now);
+    wakeAttempt(state, added, added.leaseUntil + kLeaseMargin);
+    state.attempts.drainPending = true;
+    state.counters.add("attempts_adopted_total");
+}
+
+static bool isBeingAcknowledged(const UpstreamRow& row, const AttemptId& id)
+{
+    return std::find(row.toAcknowledge.begin(), row.toAcknowledge.end(), id) != row.toAcknowledge.end();
+}
+
+static void adoptEnded(CoreState& state, UpstreamRow& row, const AttemptStatus& status, TimePoint now, Actions& actions)
+{
+    if (isBeingAcknowledged(row, status.attempt))
+        return;
+    if (status.job.isEmpty()) {
+        // Nobody waits for it any more.
+        row.toAcknowledge.push_back(status.attempt);
+        return;
+    }
+    AttemptRow attempt = describeAdopted(row, status);
+    attempt.phase = AttemptPhase::Stopping;
+    AttemptRow& added = addAttempt(state, std::move(attempt), now);
+    endAttempt(state, added, status.state, status.result, now, actions);
+}
+
+static void adoptStatus(CoreState& state, UpstreamRow& row, const AttemptStatus& status, TimePoint now, Actions& actions)
+{
+    if (status.state == AttemptState::Running)
+        adoptRunning(state, row, status, now);
+    else if (status.state == AttemptState::Ended || status.state == AttemptState::Stopped)
+        adoptEnded(state, row, status, now, actions);
+}
+
+static void takeRunning(CoreState& state, AttemptRow& attempt, Duration lease, TimePoint now, Actions& actions)
+{
+    if (attempt.phase != AttemptPhase::Running && !attempt.startInDoubt)
+        return;
+    bool isNews = attempt.startInDoubt;
+    attempt.phase = AttemptPhase::Running;
+    attempt.startInDoubt = false;
+    attempt.leaseUntil = now + lease;
+    wakeAttempt(state, attempt, attempt.leaseUntil + kLeaseMargin);
+    if (isNews && !attempt.job.isEmpty())
+        reportAttempt(state, attempt, AttemptState::Running, now, actions);
+}
+
+/// The same incarnation has never heard of it.
+static void takeUnknown(CoreState& state, AttemptRow& attempt, TimePoint now, Actions& actions)
+{
+    // The start may still be under way; only a stop rules it out for good.
+    if (attempt.startInDoubt)
+        stopAttempt(state, attempt, StopMode::Stop, now, actions);
+    else if (attempt.phase == AttemptPhase::Running)
+        loseAttempt(state, attempt, now, actions);
+}
+
+static bool isUnderWay(const AttemptRow& attempt)
+{
+    return attempt.phase == AttemptPhase::Starting || attempt.phase == AttemptPhase::Running || attempt.phase == AttemptPhase::Stopping;
+}
+
+static void takeStatus(CoreState& state, UpstreamRow& row, const AttemptStatus& status, Duration lease, TimePoint now, Actions& actions)
+{
+    auto it = state.attempts.find(status.attempt);
+    if (it == state.attempts.end()) {
+        adoptStatus(state, row, status, now, actions);
+        return;
+    }
+    AttemptRow& attempt = it->second;
+    if (attempt.upstream != row.description.id || attempt.incarnation != row.incarnation) {
+        countIgnored(state, "status");
+        return;
+    }
+    if (status.state == AttemptState::Running)
+        takeRunning(state, attempt, lease, now, actions);
+    else if (status.state == AttemptState::Unknown)
+        takeUnknown(state, attempt, now, actions);
+    else if (isUnderWay(attempt))
+        endAttempt(state, attempt, status.state, status.result, now, actions);
+}
+
+// Fences.
+
+static void loseOtherLives(CoreState& state, const UpstreamRow& row, TimePoint now, Actions& actions)
+{
+    for (const AttemptId& id : attemptsOn(state, row.description.id)) {
+        AttemptRow& attempt = state.attempts.at(id);
+        if (attempt.incarnation != row.incarnation)
+            loseAttempt(state, attempt, now, actions);
+    }
+}
+
+static void acceptFence(CoreState& state, UpstreamRow& row, const UpstreamFenceResult& result, TimePoint now, Actions& actions)
+{
+    noteAnswer(row, now);
+    if (row.incarnation != result.incarnation)
+        row.toAcknowledge.clear();
+    row.incarnation = result.incarnation;
+    row.fenced = true;
+    row.fencedEpoch = result.epoch;
+    indexUpstream(state, row);
+    loseOtherLives(state, row, now, actions);
+    for (const AttemptStatus& status : result.attempts)
+        takeStatus(state, row, status, status.leaseLeft, now, actions);
+    scheduleUpstream(state, row, nextSyncTime(state, row, now));
+}
+
+static bool isFenceAwaited(const CoreState& state, const UpstreamRow& row, const UpstreamFenceResult& result)
+{
+    const ShardRow& shard = state.shards[row.shard];
+    bool isHeld = shard.phase != ShardPhase::NotOwned && shard.phase != ShardPhase::Claiming;
+    return row.fenceInFlight && isHeld && row.shard == result.shard && shard.record.epoch == result.epoch;
+}
+
+void handleFenceResult(CoreState& state, const UpstreamFenceResult& result, TimePoint now, Actions& actions)
+{
+    auto it = state.upstreams.find(result.upstream);
+    if (it == state.upstreams.end() || !isFenceAwaited(state, it->second, result)) {
+        countIgnored(state, "fence");
+        // Perhaps the answer to the fence of an earlier epoch; the present one is still to be sent.
+        if (it != state.upstreams.end() && it->second.fenceInFlight) {
+            it->second.fenceInFlight = false;
+            scheduleUpstream(state, it->second, now);
+        }
+        return;
+    }
+    UpstreamRow& row = it->second;
+    row.fenceInFlight = false;
+    if (result.outcome == UpstreamOutcome::Ok)
+        acceptFence(state, row, result, now, actions);
+    else if (result.outcome == UpstreamOutcome::StaleEpoch)
+        noteStaleEpoch(state, row, actions);
+    else
+        noteSilence(state, row, now);
+}
+
+// Syncs.
+
+static void dropAcknowledged(UpstreamRow& row)
+{
+    std::size_t n = std::min(row.acknowledgesSent, row.toAcknowledge.size());
+    row.toAcknowledge.erase(row.toAcknowledge.begin(), row.toAcknowledge.begin() + static_cast<std::ptrdiff_t>(n));
+    row.acknowledgesSent = 0;
+}
+
+static void acceptSync(CoreState& state, UpstreamRow& row, const UpstreamSyncResult& result, TimePoint now, Actions& actions)
+{
+    noteAnswer(row, now);
+    Duration lease = state.configuration.current->defaults.attemptLease;
+    for (const AttemptStatus& status : result.attempts)
+        takeStatus(state, row, status, lease, now, actions);
+    dropAcknowledged(row);
+    scheduleUpstream(state, row, nextSyncTime(state, row, now));
+}
+
+static bool isSyncAwaited(const CoreState& state, const UpstreamRow& row, const UpstreamSyncResult& result)
+{
+    if (!row.syncInFlight || !row.fenced || row.shard != result.shard)
+        return false;
+    return row.fencedEpoch == result.epoch && state.shards[row.shard].record.epoch == result.epoch;
+}
+
+static void takeSyncOutcome(CoreState& state, UpstreamRow& row, const UpstreamSyncResult& result, TimePoint now, Actions& actions)
+{
+    bool isOtherLife = result.outcome == UpstreamOutcome::Ok && result.incarnation != row.incarnation;
+    if (isOtherLife || result.outcome == UpstreamOutcome::WrongIncarnation)
+        noteRestart(state, row, now, actions);
+    else if (result.outcome == UpstreamOutcome::Ok)
+        acceptSync(state, row, result, now, actions);
+    else if (result.outcome == UpstreamOutcome::StaleEpoch)
+        noteStaleEpoch(state, row, actions);
+    else
+        noteSilence(state, row, now);
+}
+
+void handleSyncResult(CoreState& state, const UpstreamSyncResult& result, TimePoint now, Actions& actions)
+{
+    auto it = state.upstreams.find(result.upstream);
+    if (it == state.upstreams.end() || !isSyncAwaited(state, it->second, result)) {
+        countIgnored(state, "sync");
+        if (it != state.upstreams.end() && it->second.syncInFlight) {
+            it->second.syncInFlight = false;
+            scheduleUpstream(state, it->second, now);
+        }
+        return;
+    }
+    it->second.syncInFlight = false;
+    takeSyncOutcome(state, it->second, result, now, actions);
+}
+
+// Starts.
+
+static void noteStarted(CoreState& state, AttemptRow& attempt, const UpstreamStartResult& result, TimePoint now, Actions& actions)
+{
+    if (result.ended) {
+        endAttempt(state, attempt, AttemptState::Ended, result.result, now, actions);
+        return;
+    }
+    attempt.phase = AttemptPhase::Running;
+    attempt.phaseSince = now;
+    attempt.leaseUntil = now + state.configuration.current->defaults.attemptLease;
+    wakeAttempt(state, attempt, attempt.leaseUntil + kLeaseMargin);
+    reportAttempt(state, attempt, AttemptState::Running, now, actions);
+}
+
+/// The sync asks first, so that a task which did start isn't stopped for
+/// nothing; a stop settles it where the upstream doesn't know it.
+static void noteStartInDoubt(CoreState& state, UpstreamRow& row, AttemptRow& attempt, TimePoint now)
+{
+    attempt.startInDoubt = true;
+    attempt.leaseUntil = std::max(attempt.leaseUntil, now + state.configuration.current->defaults.attemptLease);
+    hastenUpstream(state, row, now);
+}
+
+static void takeStartOutcome(CoreState& state, UpstreamRow& row, AttemptRow& attempt, const UpstreamStartResult& result, TimePoint now, Actions& actions)
+{
+    switch (result.outcome) {
+    case UpstreamOutcome::Ok:
+        noteStarted(state, attempt, result, now, actions);
+        return;
+    case UpstreamOutcome::Unknown:
+        noteStartInDoubt(state, row, attempt, now);
+        return;
+    case UpstreamOutcome::StaleEpoch:
+        // The next owner answers for it.
+        noteStaleEpoch(state, row, actions);
+        return;
+    case UpstreamOutcome::Refused:
+    case UpstreamOutcome::Unreachable:
+    case UpstreamOutcome::WrongIncarnation:
+        // Each of these says that nothing was done, and a start is sent only once:
+        // it is certain already, and a dead upstream would never answer a stop.
+        endAttempt(state, attempt, AttemptState::NeverStarted, {}, now, actions);
+        return;
+    }
+}
+
+static void noteStartReach(CoreState& state, UpstreamRow& row, const UpstreamStartResult& result, TimePoint now, Actions& actions)
+{
+    if (result.outcome == UpstreamOutcome::Unreachable)
+        noteSilence(state, row, now);
+    else if (result.outcome == UpstreamOutcome::WrongIncarnation)
+        noteRestart(state, row, now, actions);
+}
+
+void handleStartResult(CoreState& state, const UpstreamStartResult& result, TimePoint now, Actions& actions)
+{
+    auto it = state.attempts.find(result.attempt);
+    bool isAwaited = it != state.attempts.end() && it->second.upstream == result.upstream
+        && it->second.phase == AttemptPhase::Starting && !it->second.startInDoubt;
+    if (!isAwaited) {
+        countIgnored(state, "start");
+        return;
+    }
+    AttemptRow& attempt = it->second;
+    UpstreamRow& row = state.upstreams.at(attempt.upstream);
+    noteStartReach(state, row, result, now, actions);
+    if (!attempt.urgent)
+        takeStartOutcome(state, row, attempt, result, now, actions);
+    else if (result.outcome == UpstreamOutcome::StaleEpoch) {
+        noteStaleEpoch(state, row, actions);
+        endAttempt(state, attempt, AttemptState::NeverStarted, {}, now, actions);
+    } else
+        handleUrgentStartResult(state, attempt, result, now, actions);
+}
+
+// Stops.
+
+static void sendStop(CoreState& state, AttemptRow& attempt, TimePoint now, Actions& actions)
+{
+    const UpstreamRow& row = state.upstreams.at(attempt.upstream);
+    wakeAttempt(state, attempt, now + state.settings.retryInterval + retryPause(state, attempt.stopTries++));
+    if (!mayCall(state, row, now))
+        return;
+    attempt.stopInFlight = true;
+    actions.push_back(UpstreamStop { row.description.id, row.description.address, row.shard, row.fencedEpoch,
+        attempt.incarnation, attempt.id, attempt.stopMode });
+}
+
+void stopAttempt(CoreState& state, AttemptRow& attempt, StopMode mode, TimePoint now, Actions& actions)
+{
+    if (attempt.phase == AttemptPhase::Ended)
+        return;
+    if (attempt.phase == AttemptPhase::Reserved) {
+        // No start was sent, and none will be: the reservation is gone.
+        endAttempt(state, attempt, AttemptState::NeverStarted, {}, now, actions);
+        return;
+    }
+    attempt.stopMode = mode;
+    if (mode != StopMode::Throttle && attempt.phase != AttemptPhase::Stopping) {
+        attempt.phase = AttemptPhase::Stopping;
+        attempt.phaseSince = now;
+        attempt.startInDoubt = false;
+    }
+    sendStop(state, attempt, now, actions);
+}
+
+static void takeStopAnswer(CoreState& state, AttemptRow& attempt, const AttemptStatus& status, TimePoint now, Actions& actions)
+{
+    bool isFinal = status.state == AttemptState::Stopped || status.state == AttemptState::Ended || status.state == AttemptState::NeverStarted;
+    if (isFinal && attempt.phase == AttemptPhase::Stopping)
+        endAttempt(state, attempt, status.state, status.result, now, actions);
+}
+
+static void takeStopOutcome(CoreState& state, UpstreamRow& row, AttemptRow& attempt, const UpstreamStopResult& result, TimePoint now, Actions& actions)
+{
+    switch (result.outcome) {
+    case UpstreamOutcome::Ok:
+        noteAnswer(row, now);
+        takeStopAnswer(state, attempt, result.status, now, actions);
+        return;
+    case UpstreamOutcome::StaleEpoch:
+        noteStaleEpoch(state, row, actions);
+        break;
+    case UpstreamOutcome::WrongIncarnation:
+        // The fence that follows accounts for it.
+        noteRestart(state, row, now, actions);
+        return;
+    case UpstreamOutcome::Refused:
+        // It can't checkpoint: stop it without. Sent again when the attempt wakes.
+        attempt.stopMode = StopMode::Stop;
+        return;
+    case UpstreamOutcome::Unreachable:
+    case UpstreamOutcome::Unknown:
+        noteSilence(state, row, now);
+        break;
+    }
+    giveUpUrgent(state, attempt, RefusalReason::UpstreamLost, actions);
+}
+
+void handleStopResult(CoreState& state, const UpstreamStopResult& result, TimePoint now, Actions& actions)
+{
+    auto it = state.attempts.find(result.attempt);
+    bool isAwaited = it != state.attempts.end() && it->second.upstream == result.upstream && it->second.stopInFlight;
+    if (!isAwaited) {
+        countIgnored(state, "stop");
+        return;
+    }
+    AttemptRow& attempt = it->second;
+    attempt.stopInFlight = false;
+    takeStopOutcome(state, state.upstreams.at(attempt.upstream), attempt, result, now, actions);
+}
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/core/UpstreamHealth.cpp
@@ -0,0 +1,112 @@
+#include "src/core/UpstreamHealth.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "src/core/Peers.h"
+
+namespace crocuslever {
+
+constexpr Duration kScoreHalfLife = std::chrono::seconds(60);
+constexpr double kQuarantineScore = 3; ///< In failed jobs.
+constexpr double kRepeatWeight = 0.5; ///< Of a job from a source that already failed there.
+constexpr std::size_t kMaximumBlames = 16;
+constexpr Duration kFirstProbeDelay = std::chrono::seconds(15);
+constexpr Duration kMaximumProbeDelay = std::chrono::minutes(5);
+constexpr int kProbationSuccesses = 3;
+
+static void decayScore(UpstreamRow& row, TimePoint now)
+{
+    double halves = std::chrono::duration<double>(now - row.scoreAt) / std::chrono::duration<double>(kScoreHalfLife);
+    row.failureScore *= std::exp2(-std::max(halves, 0.0));
+    row.scoreAt = now;
+}
+
+static void quarantine(CoreState& state, UpstreamRow& row, TimePoint now, Actions& actions)
+{
+    row.health = UpstreamHealth::Quarantined;
+    row.probeDelay = std::clamp<Duration>(row.probeDelay * 2, kFirstProbeDelay, kMaximumProbeDelay);
+    row.probeAfter = now + row.probeDelay;
+    state.upstreams.quarantined.insert(row.description.id);
+    state.counters.add("upstream_quarantines_total");
+    logTo(actions, LogLevel::Warning, "health", "quarantined: fails what succeeds elsewhere", row.description.id.value());
+}
+
+static void noteSuccess(CoreState& state, UpstreamRow& row, TimePoint now, Actions& actions)
+{
+    state.upstreams.lastSuccess = now;
+    row.failureScore = 0;
+    row.blames.clear();
+    if (row.health == UpstreamHealth::Quarantined) {
+        row.health = UpstreamHealth::Probation;
+        row.probationSuccesses = 0;
+        state.upstreams.quarantined.erase(row.description.id);
+        logTo(actions, LogLevel::Info, "health", "probe succeeded: on probation", row.description.id.value());
+        return;
+    }
+    if (row.health == UpstreamHealth::Probation && ++row.probationSuccesses >= kProbationSuccesses) {
+        row.health = UpstreamHealth::Good;
+        row.probeDelay = Duration(0);
+    }
+}
+
+/// A job that fails on a second upstream is itself at fault: the others are cleared of it.
+static void clearBlame(CoreState& state, const JobId& job)
+{
+    for (auto& [id, row] : state.upstreams) {
+        auto it = std::find_if(row.blames.begin(), row.blames.end(), [&](const Blame& blame) { return blame.job == job; });
+        if (it == row.blames.end())
+            continue;
+        row.failureScore = std::max(0.0, row.failureScore - it->weight);
+        row.blames.erase(it);
+    }
+}
+
+static bool isBlamedFor(const UpstreamRow& row, const JobId& job)
+{
+    if (job.isEmpty())
+        return false;
+    return std::any_of(row.blames.begin(), row.blames.end(), [&](const Blame& blame) { return blame.job == job; });
+}
+
+static void blame(UpstreamRow& row, const AttemptRow& attempt, TimePoint now)
+{
+    if (row.blames.empty())
+        row.failingSince = now;
+    std::string source = attempt.team.value() + "/" + attempt.service;
+    bool isRepeat = std::any_of(row.blames.begin(), row.blames.end(), [&](const Blame& b) { return b.source == source; });
+    double weight = isRepeat ? kRepeatWeight : 1;
+    row.failureScore += weight;
+    if (row.blames.size() < kMaximumBlames)
+        row.blames.push_back({ attempt.job, source, weight });
+}
+
+static void noteFailure(CoreState& state, UpstreamRow& row, const AttemptRow& attempt, TimePoint now, Actions& actions)
+{
+    if (row.health != UpstreamHealth::Good) {
+        // Nothing else runs there meanwhile: the probe speaks for itself.
+        quarantine(state, row, now, actions);
+        return;
+    }
+    if (attempt.failedElsewhere) {
+        clearBlame(state, attempt.job);
+        return;
+    }
+    if (isBlamedFor(row, attempt.job))
+        return;
+    blame(row, attempt, now);
+    // Where nothing succeeds anywhere the fault is a common one, not the upstream's.
+    if (row.failureScore >= kQuarantineScore && state.upstreams.lastSuccess > row.failingSince)
+        quarantine(state, row, now, actions);
+}
+
+void noteOutcome(CoreState& state, UpstreamRow& row, const AttemptRow& attempt, bool succeeded, TimePoint now, Actions& actions)
+{
+    decayScore(row, now);
+    if (succeeded)
+        noteSuccess(state, row, now, actions);
+    else
+        noteFailure(state, row, attempt, now, actions);
+}
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/core/UpstreamIndex.cpp
@@ -0,0 +1,102 @@
+// Every key that stands in an index is kept in its row as well, so that a row
+// can always be found there again, whatever became of it meanwhile.
+
+#include "src/core/UpstreamIndex.h"
+
+namespace crocuslever {
+
+std::int64_t urgentHeadroom(const PolicyDefaults& policy, std::int64_t slots)
+{
+    constexpr std::int64_t kWholePercent = 100;
+    return (slots * policy.urgentHeadroomPercent + kWholePercent - 1) / kWholePercent;
+}
+
+static RackUsage& rackOf(CoreState& state, const UpstreamRow& row)
+{
+    return state.upstreams.racks[{ row.description.domain, row.description.rack }];
+}
+
+static void leaveIndexes(CoreState& state, UpstreamRow& row)
+{
+    if (!row.indexed)
+        return;
+    state.upstreams.byFreeFraction.erase({ row.freeFraction, row.description.id });
+    state.upstreams.byDeferredSlots.erase({ row.deferredSlots, row.description.id });
+    RackUsage& rack = rackOf(state, row);
+    rack.reserved -= row.indexedReserved;
+    rack.slots -= row.indexedSlots;
+    if (rack.slots == 0)
+        state.upstreams.racks.erase({ row.description.domain, row.description.rack });
+    row.indexed = false;
+}
+
+static void enterIndexes(CoreState& state, UpstreamRow& row)
+{
+    constexpr std::int64_t kMillionths = 1000000;
+    std::int64_t slots = row.description.capacity.slots;
+    std::int64_t n = slots - row.reserved.slots;
+    row.freeFraction = slots > 0 ? n * kMillionths / slots : 0;
+    row.deferredSlots = n - urgentHeadroom(state.configuration.current->defaults, slots);
+    row.indexedReserved = row.reserved.slots;
+    row.indexedSlots = slots;
+    state.upstreams.byFreeFraction.emplace(row.freeFraction, row.description.id);
+    state.upstreams.byDeferredSlots.emplace(row.deferredSlots, row.description.id);
+    RackUsage& rack = rackOf(state, row);
+    rack.reserved += row.indexedReserved;
+    rack.slots += row.indexedSlots;
+    row.indexed = true;
+}
+
+void indexUpstream(CoreState& state, UpstreamRow& row)
+{
+    leaveIndexes(state, row);
+    if (row.fenced)
+        enterIndexes(state, row);
+}
+
+void describeUpstream(CoreState& state, UpstreamRow& row, const UpstreamDescription& description)
+{
+    leaveIndexes(state, row);
+    row.description = description;
+    indexUpstream(state, row);
+}
+
+void indexAllUpstreams(CoreState& state)
+{
+    for (auto& [id, row] : state.upstreams) {
+        if (row.indexed)
+            indexUpstream(state, row);
+    }
+}
+
+void unindexUpstream(CoreState& state, UpstreamRow& row)
+{
+    leaveIndexes(state, row);
+    state.upstreams.due.erase({ row.dueAt, row.description.id });
+    state.upstreams.byShard[row.shard].erase(row.description.id);
+    state.upstreams.quarantined.erase(row.description.id);
+}
+
+void scheduleUpstream(CoreState& state, UpstreamRow& row, TimePoint at)
+{
+    state.upstreams.due.erase({ row.dueAt, row.description.id });
+    row.dueAt = at;
+    state.upstreams.due.emplace(at, row.description.id);
+}
+
+void hastenUpstream(CoreState& state, UpstreamRow& row, TimePoint at)
+{
+    bool isDue = state.upstreams.due.count({ row.dueAt, row.description.id }) != 0;
+    if (!isDue || row.dueAt > at)
+        scheduleUpstream(state, row, at);
+}
+
+void countCapacity(CoreState& state, const Resources& capacity, int n)
+{
+    int& count = state.upstreams.capacities[capacity];
+    count += n;
+    if (count == 0)
+        state.upstreams.capacities.erase(capacity);
+}
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/core/Upstreams.cpp
@@ -0,0 +1,393 @@
+// The owner's view of its upstreams: the platform's list, who may be called,
+// and the calls that keep fences and leases up to date.
+
+#include "src/core/Upstreams.h"
+
+#include <algorithm>
+
+#include "src/core/Ownership.h"
+#include "src/core/Peers.h"
+#include "src/core/Reservations.h"
+#include "src/core/UpstreamIndex.h"
+#include "src/core/Urgent.h"
+
+namespace crocuslever {
+
+/// A call that the edge hasn't answered by then counts as lost.
+static constexpr Duration kCallTimeout = std::chrono::seconds(10);
+/// A gap between two ticks that shows that the process stood still.
+static constexpr Duration kMaximumTickGap = std::chrono::milliseconds(500);
+/// How long after such a gap messages may still be as old as the gap.
+static constexpr Duration kStallRecovery = std::chrono::milliseconds(200);
+static constexpr Duration kDoubtPause = std::chrono::milliseconds(20);
+
+// The list.
+
+static bool isHeld(const CoreState& state, ShardIndex shard)
+{
+    ShardPhase phase = state.shards[shard].phase;
+    return phase == ShardPhase::Settling || phase == ShardPhase::Owned || phase == ShardPhase::Releasing;
+}
+
+static UpstreamRow& addUpstream(CoreState& state, const UpstreamDescription& description, TimePoint now)
+{
+    UpstreamRow& row = state.upstreams[description.id];
+    row.description = description;
+    row.shard = shardOf(description.id);
+    row.listed = false;
+    state.upstreams.byShard[row.shard].insert(description.id);
+    if (isHeld(state, row.shard))
+        scheduleUpstream(state, row, now);
+    return row;
+}
+
+static void listUpstream(CoreState& state, const UpstreamDescription& description, TimePoint now)
+{
+    auto it = state.upstreams.find(description.id);
+    UpstreamRow& row = it == state.upstreams.end() ? addUpstream(state, description, now) : it->second;
+    if (row.listed && row.description == description)
+        return;
+    if (row.listed)
+        countCapacity(state, row.description.capacity, -1);
+    countCapacity(state, description.capacity, 1);
+    describeUpstream(state, row, description);
+    if (!row.listed && isHeld(state, row.shard))
+        hastenUpstream(state, row, now);
+    row.listed = true;
+    state.attempts.drainPending = true;
+}
+
+static void unlistUpstream(CoreState& state, UpstreamRow& row, TimePoint now)
+{
+    countCapacity(state, row.description.capacity, -1);
+    row.listed = false;
+    row.vanishedAt = now;
+}
+
+static bool hasAttempts(const CoreState& state, const UpstreamId& id)
+{
+    return state.attempts.byUpstream.count(id) != 0;
+}
+
+/// Rows stay until nothing can run there any more, so that a question about an
+/// attempt isn't answered "gone" too early.
+static bool isForgettable(const CoreState& state, const UpstreamRow& row, TimePoint now)
+{
+    return !row.listed && !hasAttempts(state, row.description.id) && isUpstreamGone(state, row.description.id, now);
+}
+
+static void dropMissing(CoreState& state, const std::set<UpstreamId>& present, TimePoint now)
+{
+    for (auto it = state.upstreams.begin(); it != state.upstreams.end();) {
+        UpstreamRow& row = it->second;
+        if (row.listed && present.count(it->first) == 0)
+            unlistUpstream(state, row, now);
+        if (!isForgettable(state, row, now)) {
+            ++it;
+            continue;
+        }
+        unindexUpstream(state, row);
+        it = state.upstreams.erase(it);
+    }
+}
+
+void handleUpstreamList(CoreState& state, const UpstreamListUpdate& update, TimePoint now, Actions&)
+{
+    if (!state.upstreams.listKnown) {
+        state.upstreams.listKnown = true;
+        state.upstreams.listKnownSince = now;
+    }
+    std::set<UpstreamId> present;
+    for (const UpstreamDescription& description : update.upstreams) {
+        present.insert(description.id);
+        listUpstream(state, description, now);
+    }
+    dropMissing(state, present, now);
+}
+
+// What may be done where.
+
+Duration longestLease(const CoreState& state)
+{
+    const PolicyDefaults& policy = state.configuration.current->defaults;
+    Duration lease = std::max({ policy.attemptLease, policy.urgentDeadline, state.settings.urgentLease });
+    // An earlier owner may have renewed until its session ended.
+    return lease + state.settings.sessionTtl + kLeaseMargin;
+}
+
+bool isUpstreamGone(const CoreState& state, const UpstreamId& id, TimePoint now)
+{
+    if (!state.upstreams.listKnown)
+        return false;
+    auto it = state.upstreams.find(id);
+    if (it == state.upstreams.end())
+        return now - state.upstreams.listKnownSince > longestLease(state);
+    const UpstreamRow& row = it->second;
+    TimePoint since = std::max(row.vanishedAt, state.shards[row.shard].phaseSince);
+    return !row.listed && !row.syncInFlight && now - since > longestLease(state);
+}
+
+static bool isFenced(const CoreState& state, const UpstreamRow& row)
+{
+    return row.fenced && row.fencedEpoch == state.shards[row.shard].record.epoch;
+}
+
+bool mayCall(const CoreState& state, const UpstreamRow& row, TimePoint now)
+{
+    return isFenced(state, row) && isHeld(state, row.shard) && mayActOn(state, row.shard, now);
+}
+
+bool isInService(const CoreState& state, const UpstreamRow& row, TimePoint now)
+{
+    if (!row.listed || !row.reachable || row.description.leaving)
+        return false;
+    if (state.shards[row.shard].phase != ShardPhase::Owned || !mayCall(state, row, now))
+        return false;
+    return !state.configuration.current->isDomainOut(row.description.domain);
+}
+
+bool acceptsWork(const CoreState& state, const UpstreamRow& row, TimePoint now)
+{
+    return row.health != UpstreamHealth::Quarantined && isInService(state, row, now);
+}
+
+static bool isSettledWithout(const CoreState& state, const UpstreamRow& row, TimePoint now)
+{
+    TimePoint since = state.shards[row.shard].phaseSince;
+    return !row.reachable && row.lastAnswer < since && now - since > longestLease(state);
+}
+
+bool isShardFenced(const CoreState& state, ShardIndex shard, TimePoint now)
+{
+    // Before the list is known, "every upstream" would be none.
+    if (!state.upstreams.listKnown)
+        return false;
+    for (const UpstreamId& id : state.upstreams.byShard[shard]) {
+        const UpstreamRow& row = state.upstreams.at(id);
+        if (row.listed && !isFenced(state, row) && !isSettledWithout(state, row, now))
+            return false;
+    }
+    return true;
+}
+
+std::map<TeamId, int> runningByTeam(const CoreState& state, ShardIndex shard)
+{
+    std::map<TeamId, int> running;
+    for (const UpstreamId& upstream : state.upstreams.byShard[shard]) {
+        for (const AttemptId& id : attemptsOn(state, upstream)) {
+            const AttemptRow& row = state.attempts.at(id);
+            if (row.holdsRoom)
+                ++running[row.team];
+        }
+    }
+    return running;
+}
+
+Resources freeRoom(const CoreState& state, bool urgent, TimePoint now)
+{
+    Resources sum { 0, 0, 0, 0 };
+    for (ShardIndex shard = 0; shard < kShardCount; ++shard) {
+        if (state.shards[shard].phase != ShardPhase::Owned)
+            continue;
+        for (const UpstreamId& id : state.upstreams.byShard[shard]) {
+            const UpstreamRow& row = state.upstreams.at(id);
+            if (!acceptsWork(state, row, now))
+                continue;
+            Resources room = row.description.capacity - row.reserved;
+            if (!urgent)
+                room.slots -= urgentHeadroom(state.configuration.current->defaults, row.description.capacity.slots);
+            if (!room.isNegative())
+                sum = sum + room;
+        }
+    }
+    return sum;
+}
+
+// Helpers shared with the handlers of answers.
+
+void countIgnored(CoreState& state, const std::string& kind)
+{
+    state.counters.add("ignored_answers_total{kind=\"" + kind + "\"}");
+}
+
+std::vector<AttemptId> attemptsOn(const CoreState& state, const UpstreamId& id)
+{
+    auto it = state.attempts.byUpstream.find(id);
+    if (it == state.attempts.byUpstream.end())
+        return {};
+    return { it->second.begin(), it->second.end() };
+}
+
+/// Between half and the whole of `d`, by chance.
+static Duration withJitter(CoreState& state, Duration d)
+{
+    std::int64_t half = d.count() / 2;
+    return Duration(half + static_cast<std::int64_t>(nextRandom(state) % static_cast<std::uint64_t>(half + 1)));
+}
+
+Duration retryPause(CoreState& state, int failures)
+{
+    constexpr Duration kFirst = std::chrono::milliseconds(100);
+    constexpr int kMaximumDoublings = 4;
+    return withJitter(state, kFirst * (1 << std::clamp(failures, 0, kMaximumDoublings)));
+}
+
+TimePoint nextSyncTime(CoreState& state, const UpstreamRow& row, TimePoint now)
+{
+    std::vector<AttemptId> ids = attemptsOn(state, row.description.id);
+    for (const AttemptId& id : ids) {
+        if (state.attempts.at(id).startInDoubt)
+            return now + kDoubtPause;
+    }
+    if (!ids.empty() || !row.toAcknowledge.empty())
+        return now + state.settings.syncInterval;
+    return now + withJitter(state, state.settings.idleSyncInterval);
+}
+
+void forgetUpstreams(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
+{
+    for (const UpstreamId& id : state.upstreams.byShard[shard]) {
+        for (const AttemptId& attempt : attemptsOn(state, id)) {
+            giveUpUrgent(state, state.attempts.at(attempt), RefusalReason::NotValid, actions);
+            removeAttempt(state, attempt);
+        }
+        UpstreamRow& row = state.upstreams.at(id);
+        row.fenced = false;
+        row.toAcknowledge.clear();
+        row.acknowledgesSent = 0;
+        row.lastAnswer = std::min(row.lastAnswer, now);
+        indexUpstream(state, row);
+    }
+}
+
+// The calls.
+
+static void sendFence(CoreState& state, UpstreamRow& row, TimePoint now, Actions& actions)
+{
+    Epoch epoch = state.shards[row.shard].record.epoch;
+    row.fenceInFlight = true;
+    row.callSince = now;
+    actions.push_back(UpstreamFence { row.description.id, row.description.address, row.shard, epoch, state.settings.self });
+}
+
+/// Urgent attempts live on the lease that they started with, so that their
+/// entry instance knows by itself when they must have ended.
+static bool isToBeRenewed(const AttemptRow& attempt)
+{
+    return attempt.startInDoubt || (attempt.phase == AttemptPhase::Running && attempt.kind != WorkKind::Urgent);
+}
+
+static void sendSync(CoreState& state, UpstreamRow& row, TimePoint now, Actions& actions)
+{
+    UpstreamSync sync { row.description.id, row.description.address, row.shard, row.fencedEpoch, row.incarnation,
+        state.configuration.current->defaults.attemptLease, {}, row.toAcknowledge };
+    for (const AttemptId& id : attemptsOn(state, row.description.id)) {
+        AttemptRow& attempt = state.attempts.at(id);
+        if (!isToBeRenewed(attempt))
+            continue;
+        attempt.leaseUntil = std::max(attempt.leaseUntil, now + sync.lease);
+        sync.renew.push_back(id);
+    }
+    row.syncInFlight = true;
+    row.callSince = now;
+    row.acknowledgesSent = row.toAcknowledge.size();
+    actions.push_back(std::move(sync));
+}
+
+static bool isCallInFlight(CoreState& state, UpstreamRow& row, TimePoint now)
+{
+    if (!row.fenceInFlight && !row.syncInFlight)
+        return false;
+    if (now - row.callSince < kCallTimeout)
+        return true;
+    state.counters.add("upstream_calls_lost_total");
+    row.fenceInFlight = false;
+    row.syncInFlight = false;
+    return false;
+}
+
+static bool mayFence(const CoreState& state, const UpstreamRow& row)
+{
+    const ShardRow& shard = state.shards[row.shard];
+    if (shard.phase == ShardPhase::Releasing || row.staleEpoch == shard.record.epoch)
+        return false;
+    return row.listed || hasAttempts(state, row.description.id);
+}
+
+static void wakeUpstream(CoreState& state, UpstreamRow& row, TimePoint now, Actions& actions)
+{
+    // Scheduled anew when the shard is claimed again.
+    if (!isHeld(state, row.shard))
+        return;
+    if (!mayActOn(state, row.shard, now)) {
+        scheduleUpstream(state, row, now + state.settings.retryInterval);
+        return;
+    }
+    if (isCallInFlight(state, row, now)) {
+        scheduleUpstream(state, row, row.callSince + kCallTimeout);
+        return;
+    }
+    if (isFenced(state, row))
+        sendSync(state, row, now, actions);
+    else if (mayFence(state, row))
+        sendFence(state, row, now, actions);
+    scheduleUpstream(state, row, now + kCallTimeout);
+}
+
+static void scheduleShard(CoreState& state, ShardIndex shard, TimePoint now)
+{
+    Epoch& scheduled = state.upstreams.scheduledEpoch[shard];
+    if (!isHeld(state, shard)) {
+        scheduled = 0;
+        return;
+    }
+    Epoch epoch = state.shards[shard].record.epoch;
+    if (scheduled == epoch)
+        return;
+    scheduled = epoch;
+    for (const UpstreamId& id : state.upstreams.byShard[shard])
+        scheduleUpstream(state, state.upstreams.at(id), now);
+}
+
+static void followConfiguration(CoreState& state)
+{
+    std::uint64_t revision = state.configuration.current->revision;
+    if (state.upstreams.seenRevision == revision)
+        return;
+    state.upstreams.seenRevision = revision;
+    state.attempts.drainPending = true;
+    indexAllUpstreams(state);
+}
+
+static bool isTickOverdue(const CoreState& state, TimePoint now)
+{
+    return state.upstreams.lastRun != TimePoint() && now - state.upstreams.lastRun > kMaximumTickGap;
+}
+
+bool isStalled(const CoreState& state, TimePoint now)
+{
+    return isTickOverdue(state, now) || now < state.upstreams.stalledUntil;
+}
+
+static void noteTick(CoreState& state, TimePoint now)
+{
+    if (isTickOverdue(state, now))
+        state.upstreams.stalledUntil = now + kStallRecovery;
+    state.upstreams.lastRun = now;
+}
+
+void runUpstreams(CoreState& state, TimePoint now, Actions& actions)
+{
+    noteTick(state, now);
+    followConfiguration(state);
+    for (ShardIndex shard = 0; shard < kShardCount; ++shard)
+        scheduleShard(state, shard, now);
+    auto& due = state.upstreams.due;
+    while (!due.empty() && due.begin()->first <= now) {
+        UpstreamId id = due.begin()->second;
+        due.erase(due.begin());
+        wakeUpstream(state, state.upstreams.at(id), now, actions);
+    }
+}
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/core/Urgent.cpp
@@ -0,0 +1,405 @@
+#include "src/core/Urgent.h"
+
+#include <algorithm>
+
+#include "src/core/Calls.h"
+#include "src/core/Escrow.h"
+#include "src/core/Peers.h"
+#include "src/core/Placement.h"
+#include "src/core/Reservations.h"
+#include "src/core/Session.h"
+#include "src/core/UpstreamIndex.h"
+#include "src/core/Upstreams.h"
+
+namespace crocuslever {
+
+// Entry side.
+
+/// Owners that a call may be passed on to in all.
+static constexpr int kMaximumOwnerTries = 6;
+static constexpr int kMaximumWaitingCalls = 256;
+static constexpr Duration kWaitForRoom = std::chrono::milliseconds(25);
+static constexpr Duration kRetryAfter = std::chrono::seconds(1);
+/// Less time than this is too short to run anything and answer.
+static constexpr Duration kLeastTime = std::chrono::milliseconds(10);
+
+static CallerReply makeReply(CallId id, CallOutcome outcome, RefusalReason reason)
+{
+    CallerReply reply;
+    reply.id = id;
+    reply.outcome = outcome;
+    reply.reason = reason;
+    if (outcome == CallOutcome::NotRun)
+        reply.retryAfter = kRetryAfter;
+    return reply;
+}
+
+static void refuseCall(CoreState& state, CallRow& row, RefusalReason reason, Actions& actions)
+{
+    finishCall(state, row.id, makeReply(row.id, CallOutcome::NotRun, reason), actions);
+}
+
+/// The only honest answers without a result: it surely didn't run, or nobody knows.
+static void finishWithoutResult(CoreState& state, CallRow& row, RefusalReason reason, Actions& actions)
+{
+    if (row.sent)
+        finishCall(state, row.id, makeReply(row.id, CallOutcome::Unknown, reason), actions);
+    else
+        refuseCall(state, row, row.lastReason == RefusalReason::None ? reason : row.lastReason, actions);
+}
+
+static Resources neededRoom(const TaskSpec& spec)
+{
+    return maximum(spec.resources, Resources { 0, 0, 0, 1 });
+}
+
+static bool wasRefusedBy(const CallRow& row, const InstanceId& id)
+{
+    return std::find(row.refusedBy.begin(), row.refusedBy.end(), id) != row.refusedBy.end();
+}
+
+static std::vector<InstanceId> ownersWithRoom(const CoreState& state, const CallRow& row, TimePoint now)
+{
+    std::vector<InstanceId> owners;
+    for (const auto& [id, member] : state.members) {
+        if (!member.heard || member.heartbeat.shuttingDown || !isPeerUp(state, id, now) || wasRefusedBy(row, id))
+            continue;
+        if (neededRoom(row.spec).fitsIn(member.heartbeat.urgentRoom))
+            owners.push_back(id);
+    }
+    return owners;
+}
+
+static std::int64_t freeSlots(const CoreState& state, const InstanceId& id)
+{
+    return state.members.at(id).heartbeat.urgentRoom.slots;
+}
+
+/// The better of two owners drawn by chance: nearly as good as the best of all,
+/// and entry instances with the same old numbers don't all run to one.
+static InstanceId pickOwner(CoreState& state, const std::vector<InstanceId>& owners)
+{
+    std::size_t first = nextRandom(state) % owners.size();
+    if (owners.size() == 1)
+        return owners[first];
+    std::size_t second = (first + 1 + nextRandom(state) % (owners.size() - 1)) % owners.size();
+    std::int64_t a = freeSlots(state, owners[first]);
+    std::int64_t b = freeSlots(state, owners[second]);
+    if (a == b)
+        return owners[second] == state.settings.self ? owners[second] : owners[first];
+    return a > b ? owners[first] : owners[second];
+}
+
+/// From here on an idempotent call's former attempt can't be running.
+static TimePoint retrySafeAt(const CoreState& state, TimePoint now)
+{
+    return now + state.settings.urgentLease + kLeaseMargin;
+}
+
+static void passOn(CoreState& state, CallRow& row, const InstanceId& owner, TimePoint now, Actions& actions)
+{
+    row.sentTo = owner;
+    row.sent = true;
+    row.nextTry = retrySafeAt(state, now);
+    // Counted at once, since the next heartbeat is some way off.
+    Resources& room = state.members.at(owner).heartbeat.urgentRoom;
+    room = room - neededRoom(row.spec);
+    sendToPeer(state, owner, UrgentCall { row.id, row.team, row.spec, row.deadline - now, row.tries }, actions);
+    ++row.tries;
+}
+
+static bool isWaiting(const CallRow& row)
+{
+    return row.urgent && !row.sent && row.nextTry != TimePoint();
+}
+
+static bool isQueueFull(const CoreState& state)
+{
+    int n = 0;
+    for (const auto& [id, row] : state.calls) {
+        if (isWaiting(row) && ++n >= kMaximumWaitingCalls)
+            return true;
+    }
+    return false;
+}
+
+static void waitForRoom(CoreState& state, CallRow& row, TimePoint now, Actions& actions)
+{
+    if (!isWaiting(row) && isQueueFull(state)) {
+        refuseCall(state, row, RefusalReason::QueueFull, actions);
+        return;
+    }
+    // By the next try those that refused may have room again.
+    row.refusedBy.clear();
+    row.nextTry = now + kWaitForRoom;
+}
+
+void routeUrgentCall(CoreState& state, CallRow& row, TimePoint now, Actions& actions)
+{
+    if (now + kLeastTime >= row.deadline) {
+        finishWithoutResult(state, row, RefusalReason::Overloaded, actions);
+        return;
+    }
+    if (row.tries >= kMaximumOwnerTries) {
+        finishWithoutResult(state, row, RefusalReason::Overloaded, actions);
+        return;
+    }
+    if (neverFits(state, neededRoom(row.spec))) {
+        refuseCall(state, row, RefusalReason::NeverFits, actions);
+        return;
+    }
+    std::vector<InstanceId> owners = ownersWithRoom(state, row, now);
+    if (owners.empty())
+        waitForRoom(state, row, now, actions);
+    else
+        passOn(state, row, pickOwner(state, owners), now, actions);
+}
+
+static void takeRefusal(CoreState& state, CallRow& row, const InstanceId& from, RefusalReason reason, TimePoint now, Actions& actions)
+{
+    row.sent = false;
+    row.nextTry = TimePoint();
+    row.lastReason = reason;
+    row.refusedBy.push_back(from);
+    if (reason == RefusalReason::NeverFits)
+        refuseCall(state, row, reason, actions);
+    else
+        routeUrgentCall(state, row, now, actions);
+}
+
+static void takeDoubt(CoreState& state, CallRow& row, const CallerReply& reply, TimePoint now, Actions& actions)
+{
+    // Its attempt was started before this answer, so its lease ends before then.
+    TimePoint safeAt = retrySafeAt(state, now);
+    if (!row.spec.idempotent || safeAt + kLeastTime >= row.deadline) {
+        finishCall(state, row.id, reply, actions);
+        return;
+    }
+    row.refusedBy.push_back(row.sentTo);
+    row.sentTo = InstanceId();
+    row.nextTry = safeAt;
+}
+
+void handleUrgentAnswer(CoreState& state, const InstanceId& from, const UrgentAnswer& answer, TimePoint now, Actions& actions)
+{
+    auto it = state.calls.find(answer.call);
+    bool isAwaited = it != state.calls.end() && it->second.urgent && it->second.sent && it->second.sentTo == from;
+    if (!isAwaited) {
+        countIgnored(state, "urgent");
+        return;
+    }
+    CallRow& row = it->second;
+    CallerReply reply = answer.reply;
+    reply.id = row.id;
+    if (reply.outcome == CallOutcome::NotRun)
+        takeRefusal(state, row, from, reply.reason, now, actions);
+    else if (reply.outcome == CallOutcome::Unknown)
+        takeDoubt(state, row, reply, now, actions);
+    else
+        finishCall(state, row.id, reply, actions);
+}
+
+/// An owner that is up still works on it; one that is down, or has said that it
+/// doesn't know, leaves idempotent work to be tried elsewhere once that is safe.
+static bool mayRetryElsewhere(const CoreState& state, const CallRow& row, TimePoint now)
+{
+    if (!row.spec.idempotent || now < row.nextTry)
+        return false;
+    return row.sentTo.isEmpty() || !isPeerUp(state, row.sentTo, now);
+}
+
+static void runUrgentCall(CoreState& state, CallRow& row, TimePoint now, Actions& actions)
+{
+    if (now >= row.deadline) {
+        finishWithoutResult(state, row, row.sent ? RefusalReason::DeadlinePassed : RefusalReason::Overloaded, actions);
+        return;
+    }
+    if (row.callerGone && !row.sent) {
+        refuseCall(state, row, RefusalReason::Cancelled, actions);
+        return;
+    }
+    bool isDue = !row.sent && now >= row.nextTry;
+    if (isDue || (row.sent && mayRetryElsewhere(state, row, now)))
+        routeUrgentCall(state, row, now, actions);
+}
+
+void runUrgentCalls(CoreState& state, TimePoint now, Actions& actions)
+{
+    for (auto it = state.calls.begin(); it != state.calls.end();) {
+        CallRow& row = it->second;
+        // The call may be finished, and its row erased.
+        ++it;
+        if (row.urgent)
+            runUrgentCall(state, row, now, actions);
+    }
+}
+
+// Owner side.
+
+/// Own upstreams that a call may be started on, one after the other.
+static constexpr int kMaximumStarts = 2;
+/// Kept back of the time left, for the answer's way.
+static constexpr Duration kReplyTime = std::chrono::milliseconds(50);
+
+static void reply(CoreState& state, const UrgentOrigin& origin, CallerReply answer, Actions& actions)
+{
+    answer.id = origin.call;
+    sendToPeer(state, origin.entry, UrgentAnswer { origin.call, std::move(answer) }, actions);
+}
+
+static void replyWithout(CoreState& state, const UrgentOrigin& origin, CallOutcome outcome, RefusalReason reason, Actions& actions)
+{
+    reply(state, origin, makeReply(origin.call, outcome, reason), actions);
+}
+
+static RefusalReason whyNotUrgent(CoreState& state, const TeamId& team, TimePoint timeEnd, TimePoint now)
+{
+    if (state.shuttingDown)
+        return RefusalReason::ShuttingDown;
+    if (!isSessionValid(state, now))
+        return RefusalReason::NotValid;
+    if (isStalled(state, now))
+        return RefusalReason::Overloaded;
+    if (now + kLeastTime >= timeEnd)
+        return RefusalReason::DeadlinePassed;
+    if (teamRoom(state, team) > 0)
+        return RefusalReason::None;
+    wantGrant(state, team, now);
+    return RefusalReason::TeamLimit;
+}
+
+static AttemptRow makeUrgentAttempt(CoreState& state, const TeamId& team, const UrgentOrigin& origin, const UpstreamRow& upstream)
+{
+    AttemptRow row;
+    row.id = makeAttemptId(state);
+    row.team = team;
+    row.kind = WorkKind::Urgent;
+    row.idempotent = origin.spec.idempotent;
+    row.service = origin.spec.service;
+    row.upstream = upstream.description.id;
+    row.incarnation = upstream.incarnation;
+    row.shard = upstream.shard;
+    row.epoch = upstream.fencedEpoch;
+    row.phase = AttemptPhase::Starting;
+    row.charged = neededRoom(origin.spec);
+    row.urgent = origin;
+    return row;
+}
+
+static void startUrgentOn(CoreState& state, const TeamId& team, const UrgentOrigin& origin, const UpstreamRow& upstream, TimePoint now, Actions& actions)
+{
+    Duration timeLeft = origin.deadline - now;
+    Duration timeout = std::max(timeLeft - kReplyTime, timeLeft / 2);
+    // Work that is never tried elsewhere needs no short lease.
+    Duration lease = origin.spec.idempotent ? state.settings.urgentLease : std::max(state.settings.urgentLease, timeLeft);
+    AttemptRow& row = addAttempt(state, makeUrgentAttempt(state, team, origin, upstream), now);
+    row.leaseUntil = now + timeout + lease;
+    wakeAttempt(state, row, row.leaseUntil + kLeaseMargin);
+    state.counters.add("starts_total{kind=\"urgent\"}");
+    actions.push_back(UpstreamStart { row.upstream, upstream.description.address, row.shard, row.epoch, row.incarnation,
+        row.id, row.job, team, origin.spec, lease, true, timeout });
+}
+
+static RefusalReason startUrgent(CoreState& state, const TeamId& team, UrgentOrigin origin, const std::vector<UpstreamId>& avoid, TimePoint now, Actions& actions)
+{
+    RefusalReason reason = whyNotUrgent(state, team, origin.deadline, now);
+    if (reason != RefusalReason::None)
+        return reason;
+    PlacementRequest request { WorkKind::Urgent, neededRoom(origin.spec), false, avoid, {} };
+    PlacementDecision decision = placeTask(state, request, now);
+    if (!decision.upstream)
+        return decision.reason;
+    ++origin.tries;
+    startUrgentOn(state, team, origin, state.upstreams.at(*decision.upstream), now, actions);
+    return RefusalReason::None;
+}
+
+void handleUrgentCall(CoreState& state, const InstanceId& from, const UrgentCall& call, TimePoint now, Actions& actions)
+{
+    UrgentOrigin origin { from, call.call, now + call.timeLeft, call.spec, 0 };
+    RefusalReason reason = startUrgent(state, call.team, origin, {}, now, actions);
+    if (reason != RefusalReason::None)
+        replyWithout(state, origin, CallOutcome::NotRun, reason, actions);
+}
+
+void handleUrgentStartResult(CoreState& state, AttemptRow& row, const UpstreamStartResult& result, TimePoint now, Actions& actions)
+{
+    switch (result.outcome) {
+    case UpstreamOutcome::Ok:
+        if (result.ended)
+            endAttempt(state, row, AttemptState::Ended, result.result, now, actions);
+        else
+            stopAttempt(state, row, StopMode::Stop, now, actions);
+        return;
+    case UpstreamOutcome::Unknown:
+        stopAttempt(state, row, StopMode::Stop, now, actions);
+        return;
+    case UpstreamOutcome::Refused:
+    case UpstreamOutcome::Unreachable:
+    case UpstreamOutcome::WrongIncarnation:
+    case UpstreamOutcome::StaleEpoch:
+        // Nothing was done, and this start is never sent again.
+        endAttempt(state, row, AttemptState::NeverStarted, {}, now, actions);
+        return;
+    }
+}
+
+static CallerReply makeDone(const TaskResult& result)
+{
+    CallerReply answer;
+    answer.outcome = CallOutcome::Done;
+    answer.reason = result.succeeded ? RefusalReason::None : RefusalReason::TaskFailed;
+    answer.status = result.status;
+    answer.body = result.body;
+    return answer;
+}
+
+/// It doesn't run any more. Tries it on another own upstream if that is safe.
+static void replyNotEnded(CoreState& state, const AttemptRow& row, const UrgentOrigin& origin, AttemptState finalState, TimePoint now, Actions& actions)
+{
+    bool isNotRun = finalState == AttemptState::NeverStarted;
+    bool isSafe = isNotRun || row.idempotent;
+    RefusalReason reason = RefusalReason::Overloaded;
+    if (isSafe && origin.tries < kMaximumStarts) {
+        reason = startUrgent(state, row.team, origin, { row.upstream }, now, actions);
+        if (reason == RefusalReason::None)
+            return;
+    }
+    if (isNotRun)
+        replyWithout(state, origin, CallOutcome::NotRun, reason, actions);
+    else
+        replyWithout(state, origin, CallOutcome::Unknown, RefusalReason::UpstreamLost, actions);
+}
+
+static void acknowledgeResult(CoreState& state, const AttemptRow& row, TimePoint now)
+{
+    auto it = state.upstreams.find(row.upstream);
+    if (it == state.upstreams.end() || it->second.incarnation != row.incarnation)
+        return;
+    it->second.toAcknowledge.push_back(row.id);
+    hastenUpstream(state, it->second, now + state.settings.syncInterval);
+}
+
+void endUrgentAttempt(CoreState& state, AttemptRow& row, AttemptState finalState, const TaskResult& result, TimePoint now, Actions& actions)
+{
+    AttemptRow ended = row;
+    removeAttempt(state, ended.id);
+    if (finalState == AttemptState::Ended || finalState == AttemptState::Stopped)
+        acknowledgeResult(state, ended, now);
+    if (!ended.urgent)
+        return;
+    if (finalState == AttemptState::Ended)
+        reply(state, *ended.urgent, makeDone(result), actions);
+    else
+        replyNotEnded(state, ended, *ended.urgent, finalState, now, actions);
+}
+
+void giveUpUrgent(CoreState& state, AttemptRow& row, RefusalReason reason, Actions& actions)
+{
+    if (!row.urgent)
+        return;
+    replyWithout(state, *row.urgent, CallOutcome::Unknown, reason, actions);
+    row.urgent.reset();
+}
+
+} // namespace crocuslever
--- a/src/core/Urgent.h
+++ b/src/core/Urgent.h
@@ -19,5 +19,10 @@
 void handleUrgentCall(CoreState&, const InstanceId& from, const UrgentCall&, TimePoint now, Actions&);
 /// The start's answer: the whole result, a refusal, or doubt.
 void handleUrgentStartResult(CoreState&, AttemptRow&, const UpstreamStartResult&, TimePoint now, Actions&);
+/// The attempt is over: answers its caller, or starts it anew where that is
+/// safe. `row` is gone afterwards.
+void endUrgentAttempt(CoreState&, AttemptRow&, AttemptState, const TaskResult&, TimePoint now, Actions&);
+/// Whether it ran can't be learnt in time: says so, and resolves it for itself.
+void giveUpUrgent(CoreState&, AttemptRow&, RefusalReason, Actions&);
 
 } // namespace crocuslever
