--- a/include/crocuslever/Core.h
+++ b/include/crocuslever/Core.h
@@ -5,7 +5,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "crocuslever/AttemptTable.h"
@@ -41,7 +43,7 @@
     bool requestInFlight { false };
     bool registered { false }; ///< The member record is known to be in the store.
     TimePoint lastStoreAnswer; ///< Any answer at all from the store.
-    std::uint64_t lives { 0 }; ///< Sessions begun by this process.
+    bool supplanted { false }; ///< An upstream knew a higher epoch: another owner acts.
 };
 
 /// The adopted configuration and the document that it came from.
@@ -65,6 +67,7 @@
     TimePoint nextTry;
     int tries { 0 };
     bool sent { false }; ///< An owner may be acting on it.
+    int unanswered { 0 }; ///< Jobs only: sends that no owner has surely refused.
     bool callerGone { false };
     std::vector<InstanceId> refusedBy;
     RefusalReason lastReason { RefusalReason::None };
@@ -82,25 +85,46 @@
     struct Waiter {
         InstanceId entry;
         CallId call { 0 };
+        std::uint64_t version { 0 }; ///< Answered once this version is durable.
     };
     std::vector<Waiter> waiters; ///< Submitters to answer once it is durable.
     /// What a task does at present; index as in `record.tasks`.
     struct TaskProgress {
-        std::optional<Assignment> reserved; ///< Not yet assigned durably.
-        AttemptId asked; ///< Reservation asked for, not answered.
+        AttemptId asked; ///< Reservation asked for, not answered; empty: none.
+        InstanceId askedOf;
         TimePoint askedAt;
+        std::optional<Assignment> reserved; ///< Held there, not yet assigned durably.
         bool startSent { false };
-        bool recovered { false }; ///< Assigned under an earlier owner: ask, don't start.
+        bool recovered { false }; ///< Assigned under an earlier owner of the job: ask, don't start.
+        bool resolve { false }; ///< The upstream's owner doesn't know it: have it made certain.
         TimePoint nextQuery;
     };
     std::vector<TaskProgress> progress;
-    TimePoint nextTry; ///< Backoff.
+    TimePoint dueAt; ///< When the job is looked at next; its place in `JobSchedule::due`.
     int refusals { 0 }; ///< Reservations refused in a row.
-    TimePoint queuedSince;
+    TimePoint notBefore; ///< Backoff of the next reservation.
+    /// Ends to be acknowledged once the version that holds them is durable.
+    struct PendingAcknowledge {
+        AttemptId attempt;
+        ShardIndex shard { 0 }; ///< Of the upstream.
+        std::uint64_t version { 0 };
+    };
+    std::vector<PendingAcknowledge> acknowledges;
 };
 
 using JobTable = std::map<JobId, JobRow>;
 
+/// Indexes over the job table, so that a tick touches only jobs with something to do.
+struct JobSchedule {
+    std::set<std::pair<TimePoint, JobId>> due;
+    /// Jobs that need room, by team, the oldest first.
+    std::map<TeamId, std::set<std::pair<std::int64_t, JobId>>> waiting;
+    std::map<TeamId, TimePoint> teamNotBefore; ///< Backoff of a team that is at its limit.
+    int asking { 0 }; ///< Reservations asked for and not answered.
+    std::set<JobId> dirty; ///< Changed since they were last handed to the store queue.
+    std::map<TeamId, int> queued; ///< Jobs in state Queued, by team.
+};
+
 /// All that one instance knows. Tables are public: systems are free functions over them.
 struct CoreState {
     explicit CoreState(const CoreSettings&);
@@ -110,10 +134,12 @@
     StoreQueue storeQueue;
     ConfigurationState configuration;
     MemberTable members;
+    std::map<SessionId, InstanceId> liveSessions; ///< Every member record in the store.
     ShardTable shards;
     UpstreamTable upstreams;
     AttemptTable attempts;
     JobTable jobs;
+    JobSchedule jobSchedule;
     EscrowTable escrow;
     CallTable calls;
     Counters counters;
@@ -121,6 +147,7 @@
     std::deque<PeerMessage> loopback; ///< Messages to this instance itself.
     std::map<Ticket, std::string> ranges; ///< Reads in flight: ticket to prefix.
     bool controlRead { false }; ///< The control keys have been read since the watch began.
+    TimePoint nextControlRead;
     std::uint64_t nextTicket { 1 };
     std::uint64_t nextAttemptNumber { 1 };
     std::uint64_t randomState { 1 };
--- a/include/crocuslever/MemberTable.h
+++ b/include/crocuslever/MemberTable.h
@@ -26,6 +26,7 @@
 /// A live entry instance, this one included.
 struct MemberRow {
     MemberRecord record;
+    StoreRevision modRevision { 0 };
     Heartbeat heartbeat; ///< The last one heard.
     TimePoint lastHeard;
     bool heard { false };
--- a/include/crocuslever/ShardTable.h
+++ b/include/crocuslever/ShardTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <map>
 #include <tuple>
 #include <vector>
 
@@ -36,6 +37,12 @@
     ShardPhase phase { ShardPhase::NotOwned };
     TimePoint phaseSince;
     bool jobsLoaded { false }; ///< Job calls are served from here on.
+    bool jobsRequested { false }; ///< The read of its jobs is in flight.
+    bool writeInFlight { false }; ///< A settle or release write is queued or in flight.
+    /// Attempts handed over with the shard that still count against this session's
+    /// grants, by team, until the next owner has settled.
+    std::map<TeamId, int> handedOver;
+    TimePoint nextTry; ///< Of a claim, read, settle or release that failed.
 };
 
 using ShardTable = std::array<ShardRow, kShardCount>;
--- a/include/crocuslever/StoreQueue.h
+++ b/include/crocuslever/StoreQueue.h
@@ -49,9 +49,11 @@
 };
 
 /// The one lane by which a session changes the store: a transaction at a time,
-/// numbered, so that a lost answer can be resolved without doubt.
+/// each leaving its mark in the session's key, so that a lost answer can be
+/// resolved without doubt.
 struct StoreQueue {
-    std::uint64_t nextNumber { 1 }; ///< Of the session's next transaction.
+    std::string lastMark; ///< Of the session's last committed transaction; empty before the first.
+    std::string mark; ///< Of the transaction in flight.
     std::deque<PendingWrite> waiting;
     std::optional<PendingWrite> inFlight;
     bool awaitingAnswer { false };
--- /dev/null
+++ b/src/core/Escrow.cpp
@@ -0,0 +1,260 @@
+#include "src/core/Escrow.h"
+
+#include <algorithm>
+
+#include "src/codec/RecordCodec.h"
+#include "src/core/Ownership.h"
+#include "src/core/Peers.h"
+#include "src/core/Session.h"
+#include "src/core/StoreKeys.h"
+#include "src/core/StoreWriter.h"
+
+namespace crocuslever {
+
+/// A grant not used for this long beyond its base may be asked back by others.
+static constexpr Duration kIdleAfter = std::chrono::seconds(2);
+
+int teamRoom(const CoreState& state, const TeamId& team)
+{
+    auto it = state.escrow.standings.find(team);
+    if (it == state.escrow.standings.end())
+        return 0;
+    return std::max(0, it->second.granted - it->second.running);
+}
+
+void chargeTeam(CoreState& state, const TeamId& team, int n)
+{
+    TeamStanding& standing = state.escrow.standings[team];
+    standing.running += n;
+}
+
+void wantGrant(CoreState& state, const TeamId& team, TimePoint now)
+{
+    TeamStanding& standing = state.escrow.standings[team];
+    ++standing.wanted;
+    standing.lastWanted = now;
+}
+
+static int grantOf(const GrantRecord& grants, const TeamId& team, const SessionId& session)
+{
+    auto it = grants.find(team);
+    if (it == grants.end())
+        return 0;
+    auto grant = it->second.find(session);
+    return grant == it->second.end() ? 0 : grant->second;
+}
+
+void adoptGrants(CoreState& state, const GrantRecord& grants, StoreRevision revision, TimePoint)
+{
+    if (revision <= state.escrow.modRevision)
+        return;
+    state.escrow.grants = grants;
+    state.escrow.modRevision = revision;
+    for (const auto& [team, sessions] : grants)
+        state.escrow.standings[team];
+    if (state.escrow.writeInFlight)
+        return;
+    for (auto& [team, standing] : state.escrow.standings)
+        standing.granted = grantOf(grants, team, state.session.id);
+}
+
+static int sumOf(const GrantRecord& grants, const TeamId& team)
+{
+    auto it = grants.find(team);
+    if (it == grants.end())
+        return 0;
+    int sum = 0;
+    for (const auto& [session, n] : it->second)
+        sum += n;
+    return sum;
+}
+
+static void setGrant(GrantRecord& grants, const TeamId& team, const SessionId& session, int n)
+{
+    if (n > 0) {
+        grants[team][session] = n;
+        return;
+    }
+    auto it = grants.find(team);
+    if (it == grants.end())
+        return;
+    it->second.erase(session);
+    if (it->second.empty())
+        grants.erase(it);
+}
+
+GrantRecord moveGrants(const GrantRecord& before, const std::vector<SessionId>& from, const SessionId& to, const std::map<TeamId, int>& moved)
+{
+    GrantRecord grants = before;
+    for (const auto& [team, count] : moved) {
+        int left = count;
+        for (const SessionId& session : from) {
+            int held = grantOf(grants, team, session);
+            int n = std::min(held, left);
+            setGrant(grants, team, session, held - n);
+            setGrant(grants, team, to, grantOf(grants, team, to) + n);
+            left -= n;
+        }
+    }
+    return grants;
+}
+
+/// A session that has ended and that no shard's record names can have nothing running.
+static bool isSpent(const CoreState& state, const SessionId& session)
+{
+    if (state.liveSessions.count(session) != 0)
+        return false;
+    return std::none_of(state.shards.begin(), state.shards.end(), [&](const ShardRow& row) {
+        const std::vector<SessionId>& unsettled = row.record.unsettledFrom;
+        return row.record.session == session || std::find(unsettled.begin(), unsettled.end(), session) != unsettled.end();
+    });
+}
+
+static void dropSpentSessions(const CoreState& state, GrantRecord& grants)
+{
+    std::vector<std::pair<TeamId, SessionId>> spent;
+    for (const auto& [team, sessions] : grants) {
+        for (const auto& [session, n] : sessions) {
+            if (isSpent(state, session))
+                spent.emplace_back(team, session);
+        }
+    }
+    for (const auto& [team, session] : spent)
+        setGrant(grants, team, session, 0);
+}
+
+static int wantedByOthers(const CoreState& state, const TeamId& team)
+{
+    int sum = 0;
+    for (const auto& [id, member] : state.members) {
+        if (id == state.settings.self)
+            continue;
+        for (const TeamUsage& usage : member.heartbeat.teams) {
+            if (usage.team == team)
+                sum += usage.grantWanted;
+        }
+    }
+    return sum;
+}
+
+namespace {
+
+/// What bears on how much of one team's limit this instance should hold.
+struct GrantQuestion {
+    int limit { 0 };
+    int granted { 0 }; ///< To this session, in the record.
+    int grantedToAll { 0 };
+    int running { 0 };
+    int wanted { 0 };
+    int wantedByOthers { 0 };
+    int members { 1 };
+    bool idle { false }; ///< Nothing wanted here lately.
+};
+
+} // namespace
+
+/// Half of a limit lies spread out ahead of need; the other half flows to where
+/// the work is. What others want and isn't used here goes back.
+static int wantedGrant(const GrantQuestion& q)
+{
+    int free = q.limit - q.grantedToAll;
+    int base = q.limit / (2 * q.members);
+    int step = std::max(1, q.limit / (4 * q.members));
+    int target = q.granted;
+    if (q.wanted > 0)
+        target = q.running + q.wanted + step;
+    else if (q.granted < base)
+        target = base;
+    else if (q.idle && q.granted > std::max(base, q.running + 2 * step))
+        target = std::max(base, q.running + step);
+    bool scarce = free < q.wantedByOthers;
+    if (scarce && q.wantedByOthers > 0 && q.wanted == 0)
+        target = std::min(target, q.running);
+    if (free < 0)
+        target = std::min(target, q.running);
+    target = std::min(target, q.granted + std::max(0, free));
+    return std::max(target, std::min(q.running, q.granted));
+}
+
+static GrantQuestion askFor(const CoreState& state, const GrantRecord& grants, const Team& team, TimePoint now)
+{
+    GrantQuestion q;
+    q.limit = team.upperLimit;
+    q.granted = grantOf(grants, team.id, state.session.id);
+    q.grantedToAll = sumOf(grants, team.id);
+    q.wantedByOthers = wantedByOthers(state, team.id);
+    q.members = std::max<int>(1, static_cast<int>(state.members.size()));
+    auto it = state.escrow.standings.find(team.id);
+    if (it == state.escrow.standings.end()) {
+        q.idle = true;
+        return q;
+    }
+    q.running = it->second.running;
+    // Refused requests come again and are counted anew, so the count says little above a few steps.
+    q.wanted = std::min(it->second.wanted, 4 * std::max(1, q.limit / (4 * q.members)));
+    q.idle = now - it->second.lastWanted > kIdleAfter;
+    return q;
+}
+
+static void settleWants(CoreState& state, TimePoint now)
+{
+    for (auto& [team, standing] : state.escrow.standings) {
+        if (now - standing.lastWanted > kIdleAfter)
+            standing.wanted = 0;
+    }
+}
+
+/// What is to be given back is out of use from here on, before the store knows.
+static void lowerAtOnce(CoreState& state, const GrantRecord& grants)
+{
+    for (auto& [team, standing] : state.escrow.standings)
+        standing.granted = std::min(standing.granted, grantOf(grants, team, state.session.id));
+}
+
+static GrantRecord nextGrants(const CoreState& state, TimePoint now)
+{
+    GrantRecord grants = state.escrow.grants;
+    dropSpentSessions(state, grants);
+    for (const Team& team : state.configuration.current->teams)
+        setGrant(grants, team.id, state.session.id, wantedGrant(askFor(state, grants, team, now)));
+    return grants;
+}
+
+void runEscrow(CoreState& state, TimePoint now, Actions&)
+{
+    if (state.escrow.writeInFlight || now < state.escrow.nextWrite)
+        return;
+    // Spread by chance, so that instances that start together don't collide for ever.
+    Duration jitter(static_cast<std::int64_t>(nextRandom(state) % static_cast<std::uint64_t>(state.settings.escrowInterval.count())));
+    state.escrow.nextWrite = now + state.settings.escrowInterval + jitter;
+    if (state.shuttingDown || !state.controlRead || !isSessionValid(state, now))
+        return;
+    GrantRecord grants = nextGrants(state, now);
+    settleWants(state, now);
+    if (grants == state.escrow.grants)
+        return;
+    lowerAtOnce(state, grants);
+    StoreTransaction transaction;
+    transaction.compares.push_back({ kGrantsKey, state.escrow.modRevision });
+    transaction.puts.push_back({ kGrantsKey, encodeGrants(grants), 0 });
+    enqueueWrite(state, std::move(transaction), GrantPurpose { grants });
+    state.escrow.writeInFlight = true;
+}
+
+void handleGrantOutcome(CoreState& state, const GrantPurpose& purpose, bool committed, TimePoint now, Actions&)
+{
+    state.escrow.writeInFlight = false;
+    state.counters.add(committed ? "grant_writes_total" : "grant_conflicts_total");
+    if (!committed)
+        state.escrow.nextWrite = now + fromMilliseconds(static_cast<std::int64_t>(nextRandom(state) % 50));
+    for (auto& [team, standing] : state.escrow.standings) {
+        // A raise comes into force only when the watch shows it, a reduction at once.
+        int seen = grantOf(state.escrow.grants, team, state.session.id);
+        int written = committed ? grantOf(purpose.grants, team, state.session.id) : seen;
+        if (written > standing.granted)
+            standing.wanted = 0;
+        standing.granted = std::min(seen, written);
+    }
+}
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/core/JobDispatch.cpp
@@ -0,0 +1,347 @@
+// Which job asks for room next, and whom.
+
+#include <algorithm>
+
+#include "src/core/JobSteps.h"
+#include "src/core/Jobs.h"
+#include "src/core/Ownership.h"
+#include "src/core/Peers.h"
+#include "src/core/Shares.h"
+
+namespace crocuslever {
+
+/// Bounds on what one instance asks for at once; answers come within milliseconds.
+static constexpr int kMaximumAsking = 256;
+static constexpr int kMaximumJobsPerTick = 128;
+/// A reservation without an answer for this long is given up.
+static constexpr Duration kAskTimeout = std::chrono::seconds(1);
+static constexpr Duration kTeamBackoff = std::chrono::milliseconds(100);
+static constexpr Duration kFirstBackoff = std::chrono::milliseconds(20);
+static constexpr Duration kLongestBackoff = std::chrono::milliseconds(1000);
+/// How far behind a team's oldest job another may be tried, when the oldest doesn't fit.
+static constexpr int kBackfillDepth = 8;
+
+bool needsRoom(const JobRow& job)
+{
+    if (isFinal(job.record.state) || job.record.cancelRequested)
+        return false;
+    for (std::size_t i = 0; i < job.record.tasks.size(); ++i) {
+        const TaskRecord& task = job.record.tasks[i];
+        if (!task.assignment && !task.ended && !job.progress[i].reserved && job.progress[i].asked.isEmpty())
+            return true;
+    }
+    return false;
+}
+
+void enqueueForRoom(CoreState& state, JobRow& job)
+{
+    state.jobSchedule.waiting[job.record.team].insert({ job.record.submittedAtMs, job.record.id });
+}
+
+void dequeueForRoom(CoreState& state, JobRow& job)
+{
+    auto it = state.jobSchedule.waiting.find(job.record.team);
+    if (it == state.jobSchedule.waiting.end())
+        return;
+    it->second.erase({ job.record.submittedAtMs, job.record.id });
+    if (it->second.empty())
+        state.jobSchedule.waiting.erase(it);
+}
+
+static void releaseTask(CoreState& state, JobRow::TaskProgress& progress, Actions& actions)
+{
+    if (!progress.asked.isEmpty()) {
+        sendToPeer(state, progress.askedOf, ReleaseRequest { progress.asked }, actions);
+        progress.asked = AttemptId();
+        --state.jobSchedule.asking;
+    }
+    if (progress.reserved) {
+        InstanceId owner = currentOwner(state, progress.reserved->shard);
+        if (!owner.isEmpty())
+            sendToPeer(state, owner, ReleaseRequest { progress.reserved->attempt }, actions);
+        progress.reserved.reset();
+    }
+}
+
+void releaseHolds(CoreState& state, JobRow& job, Actions& actions)
+{
+    for (JobRow::TaskProgress& progress : job.progress)
+        releaseTask(state, progress, actions);
+}
+
+static Duration backoff(CoreState& state, int refusals)
+{
+    int doublings = std::min(refusals, 6);
+    Duration longest = std::min(kLongestBackoff, kFirstBackoff * (1 << doublings));
+    // Between half and all of it, so that those refused together don't come back together.
+    std::int64_t half = longest.count() / 2;
+    return Duration(half + static_cast<std::int64_t>(nextRandom(state) % static_cast<std::uint64_t>(half + 1)));
+}
+
+// Choosing whom to ask.
+
+static bool mayTake(const CoreState& state, const MemberRow& member, const Resources& resources, TimePoint now)
+{
+    return isPeerUp(state, member.record.id, now) && member.heard && !member.heartbeat.shuttingDown
+        && resources.fitsIn(member.heartbeat.deferredRoom);
+}
+
+/// The better of two chosen by chance. Work that is to be spread goes where the
+/// most room is, work that is to be packed where the least is.
+static MemberRow* chooseOwner(CoreState& state, const TaskSpec& spec, TimePoint now)
+{
+    std::vector<MemberRow*> able;
+    for (auto& [id, member] : state.members) {
+        if (mayTake(state, member, spec.resources, now))
+            able.push_back(&member);
+    }
+    if (able.empty())
+        return nullptr;
+    MemberRow* a = able[nextRandom(state) % able.size()];
+    MemberRow* b = able[nextRandom(state) % able.size()];
+    return a->heartbeat.deferredRoom.slots >= b->heartbeat.deferredRoom.slots ? a : b;
+}
+
+static std::vector<FailureDomainId> listedDomains(const CoreState& state)
+{
+    std::set<FailureDomainId> domains;
+    for (const auto& [id, row] : state.upstreams) {
+        if (row.listed && !state.configuration.current->isDomainOut(row.description.domain))
+            domains.insert(row.description.domain);
+    }
+    return { domains.begin(), domains.end() };
+}
+
+/// Tasks of a gang or service take the failure domains in turn, starting at a
+/// place that hangs on the job, so that the loss of one takes as few as possible.
+/// (Rack-alternating assignment after KIP-36.)
+static std::vector<FailureDomainId> domainsToAvoid(const CoreState& state, const JobRow& job, std::size_t task)
+{
+    if (job.record.spec.kind == WorkKind::Batch)
+        return {};
+    std::vector<FailureDomainId> domains = listedDomains(state);
+    if (domains.size() < 2)
+        return {};
+    std::size_t preferred = (stableHash(job.record.id.value()) + task) % domains.size();
+    domains.erase(domains.begin() + static_cast<std::ptrdiff_t>(preferred));
+    return domains;
+}
+
+static ReserveRequest makeRequest(CoreState& state, const JobRow& job, std::size_t task)
+{
+    ReserveRequest request;
+    request.attempt = makeAttemptId(state);
+    request.job = job.record.id;
+    request.team = job.record.team;
+    request.spec = job.record.spec;
+    request.spec.body.clear();
+    request.avoid = job.record.tasks[task].failedOn;
+    request.avoidDomains = domainsToAvoid(state, job, task);
+    request.holdFor = state.settings.reservationHold;
+    return request;
+}
+
+static bool askForTask(CoreState& state, JobRow& job, std::size_t task, TimePoint now, Actions& actions)
+{
+    MemberRow* owner = chooseOwner(state, job.record.spec, now);
+    if (owner == nullptr)
+        return false;
+    // Until the owner's next heartbeat, count what has been asked of it as taken.
+    owner->heartbeat.deferredRoom = owner->heartbeat.deferredRoom - job.record.spec.resources;
+    ReserveRequest request = makeRequest(state, job, task);
+    JobRow::TaskProgress& progress = job.progress[task];
+    progress.asked = request.attempt;
+    progress.askedOf = owner->record.id;
+    progress.askedAt = now;
+    ++state.jobSchedule.asking;
+    sendToPeer(state, owner->record.id, std::move(request), actions);
+    return true;
+}
+
+static bool isTaskFree(const JobRow& job, std::size_t task)
+{
+    const TaskRecord& record = job.record.tasks[task];
+    return !record.assignment && !record.ended && !job.progress[task].reserved && job.progress[task].asked.isEmpty();
+}
+
+/// A gang is asked for only when its tasks seem to fit all together.
+static bool seemsToFit(const CoreState& state, const JobRow& job, TimePoint now)
+{
+    if (job.record.spec.kind != WorkKind::Gang)
+        return true;
+    std::int64_t slots = 0;
+    for (const auto& [id, member] : state.members) {
+        if (mayTake(state, member, job.record.spec.resources, now))
+            slots += member.heartbeat.deferredRoom.slots;
+    }
+    return slots >= static_cast<std::int64_t>(job.record.tasks.size());
+}
+
+/// Asks for every task that needs room. False if nobody seems to have any.
+static bool askForJob(CoreState& state, JobRow& job, TimePoint now, Actions& actions)
+{
+    if (!seemsToFit(state, job, now))
+        return false;
+    bool asked = false;
+    for (std::size_t i = 0; i < job.record.tasks.size(); ++i) {
+        if (!isTaskFree(job, i))
+            continue;
+        if (!askForTask(state, job, i, now, actions))
+            break;
+        asked = true;
+    }
+    if (asked)
+        scheduleAt(state, job, now + kAskTimeout);
+    return asked;
+}
+
+// Choosing who is next.
+
+namespace {
+
+struct Candidate {
+    double share { 0 };
+    TeamId team;
+    bool operator<(const Candidate& other) const { return std::tie(share, team) < std::tie(other.share, other.team); }
+};
+
+} // namespace
+
+static std::set<Candidate> candidateTeams(const CoreState& state, TimePoint now)
+{
+    std::set<Candidate> candidates;
+    for (const auto& [team, jobs] : state.jobSchedule.waiting) {
+        auto it = state.jobSchedule.teamNotBefore.find(team);
+        if (it == state.jobSchedule.teamNotBefore.end() || now >= it->second)
+            candidates.insert({ dominantShare(state, team, now), team });
+    }
+    return candidates;
+}
+
+static Resources cellCapacity(const CoreState& state)
+{
+    Resources sum { 0, 0, 0, 0 };
+    for (const auto& [id, member] : state.members)
+        sum = sum + member.heartbeat.capacity;
+    return sum;
+}
+
+static double weightOf(const CoreState& state, const TeamId& team)
+{
+    const Team* found = state.configuration.current->findTeam(team);
+    return found == nullptr || found->shareWeight <= 0 ? 1 : found->shareWeight;
+}
+
+/// The team's oldest job that can be asked for; null if none of the first few can.
+static JobRow* askForTeam(CoreState& state, const TeamId& team, TimePoint now, Actions& actions)
+{
+    std::vector<JobId> first;
+    for (const auto& [submitted, id] : state.jobSchedule.waiting[team]) {
+        first.push_back(id);
+        if (first.size() >= kBackfillDepth)
+            break;
+    }
+    for (const JobId& id : first) {
+        JobRow* job = findOwnedJob(state, id, now);
+        if (job == nullptr || !askForJob(state, *job, now, actions))
+            continue;
+        dequeueForRoom(state, *job);
+        return job;
+    }
+    return nullptr;
+}
+
+void runDispatch(CoreState& state, const Instant& now, Actions& actions)
+{
+    if (state.jobSchedule.waiting.empty())
+        return;
+    std::set<Candidate> candidates = candidateTeams(state, now.steady);
+    Resources capacity = cellCapacity(state);
+    for (int n = 0; n < kMaximumJobsPerTick && !candidates.empty() && state.jobSchedule.asking < kMaximumAsking; ++n) {
+        Candidate next = *candidates.begin();
+        candidates.erase(candidates.begin());
+        JobRow* job = askForTeam(state, next.team, now.steady, actions);
+        if (job == nullptr || state.jobSchedule.waiting.count(next.team) == 0)
+            continue;
+        next.share += job->record.spec.taskCount * dominantFraction(job->record.spec.resources, capacity) / weightOf(state, next.team);
+        candidates.insert(next);
+    }
+}
+
+// Answers.
+
+static void assignReserved(CoreState& state, JobRow& job, const Instant& now)
+{
+    for (std::size_t i = 0; i < job.record.tasks.size(); ++i) {
+        JobRow::TaskProgress& progress = job.progress[i];
+        if (!progress.reserved)
+            continue;
+        job.record.tasks[i].assignment = progress.reserved;
+        progress = JobRow::TaskProgress {};
+    }
+    setJobState(state, job, JobState::Assigned);
+    job.refusals = 0;
+    markChanged(state, job);
+    scheduleAt(state, job, now.steady);
+}
+
+static bool isComplete(const JobRow& job)
+{
+    for (std::size_t i = 0; i < job.record.tasks.size(); ++i) {
+        if (!job.record.tasks[i].assignment && !job.record.tasks[i].ended && !job.progress[i].reserved)
+            return false;
+    }
+    return true;
+}
+
+static void backOff(CoreState& state, JobRow& job, const ReserveAnswer& answer, TimePoint now)
+{
+    ++job.refusals;
+    state.counters.add(std::string("reservations_refused_total{reason=\"") + toString(answer.reason) + "\"}");
+    if (answer.reason == RefusalReason::TeamLimit)
+        state.jobSchedule.teamNotBefore[job.record.team] = now + kTeamBackoff;
+    job.notBefore = now + backoff(state, job.refusals);
+    scheduleAt(state, job, job.notBefore);
+}
+
+static JobRow::TaskProgress* findAsked(JobRow& job, const AttemptId& attempt)
+{
+    for (JobRow::TaskProgress& progress : job.progress) {
+        if (progress.asked == attempt)
+            return &progress;
+    }
+    return nullptr;
+}
+
+static void giveBack(CoreState& state, const InstanceId& from, const ReserveAnswer& answer, Actions& actions)
+{
+    state.counters.add("late_answers_total");
+    if (answer.granted)
+        sendToPeer(state, from, ReleaseRequest { answer.attempt }, actions);
+}
+
+void handleReserveAnswer(CoreState& state, const InstanceId& from, const ReserveAnswer& answer, const Instant& now, Actions& actions)
+{
+    JobRow* job = findOwnedJob(state, answer.job, now.steady);
+    JobRow::TaskProgress* progress = job == nullptr ? nullptr : findAsked(*job, answer.attempt);
+    if (progress == nullptr) {
+        giveBack(state, from, answer, actions);
+        return;
+    }
+    progress->asked = AttemptId();
+    --state.jobSchedule.asking;
+    if (!answer.granted) {
+        // A gang holds nothing while it waits, so that two gangs can't block each other.
+        if (job->record.spec.kind == WorkKind::Gang)
+            releaseHolds(state, *job, actions);
+        backOff(state, *job, answer, now.steady);
+        return;
+    }
+    progress->reserved = Assignment { answer.attempt, answer.upstream, answer.domain, answer.incarnation, answer.shard, answer.epoch };
+    if (job->record.cancelRequested || isFinal(job->record.state))
+        releaseHolds(state, *job, actions);
+    else if (job->record.spec.kind != WorkKind::Gang || isComplete(*job))
+        assignReserved(state, *job, now);
+}
+
+} // namespace crocuslever
--- a/src/core/Jobs.h
+++ b/src/core/Jobs.h
@@ -14,4 +14,7 @@
 /// The jobs of a shard as read back from the store at a takeover.
 void loadJobs(CoreState&, ShardIndex, const std::vector<StoreEntry>&, const Instant& now, Actions&);
 
+/// Drops the jobs of a shard that was lost or handed over.
+void forgetJobs(CoreState&, ShardIndex);
+
 } // namespace crocuslever
--- /dev/null
+++ b/src/core/Ownership.cpp
@@ -0,0 +1,394 @@
+#include "src/core/Ownership.h"
+
+#include <algorithm>
+
+#include "src/codec/RecordCodec.h"
+#include "src/core/Escrow.h"
+#include "src/core/Jobs.h"
+#include "src/core/Peers.h"
+#include "src/core/Reservations.h"
+#include "src/core/Session.h"
+#include "src/core/StoreKeys.h"
+#include "src/core/StoreWriter.h"
+#include "src/core/Upstreams.h"
+
+namespace crocuslever {
+
+static constexpr Duration kPassInterval = std::chrono::milliseconds(50);
+static constexpr Duration kRetryInterval = std::chrono::milliseconds(500);
+/// An owner keeps a shard for at least this long before it hands it over to a
+/// better one, so that a flapping member doesn't move shards to and fro.
+static constexpr Duration kMinimumTenure = std::chrono::seconds(3);
+/// Urgent requests in flight on a released shard are waited for up to this long.
+static constexpr Duration kReleaseGrace = std::chrono::seconds(3);
+static constexpr int kMaximumReleasesAtOnce = 4;
+
+static std::uint64_t rendezvousWeight(const InstanceId& id, ShardIndex shard)
+{
+    return stableHash(id.value() + "#" + std::to_string(shard));
+}
+
+static bool isCandidate(const CoreState& state, const MemberRow& member)
+{
+    if (member.record.id == state.settings.self)
+        return !state.shuttingDown;
+    return !(member.heard && member.heartbeat.shuttingDown);
+}
+
+InstanceId wantedOwner(const CoreState& state, ShardIndex shard)
+{
+    InstanceId best;
+    std::uint64_t bestWeight = 0;
+    for (const auto& [id, member] : state.members) {
+        if (!isCandidate(state, member))
+            continue;
+        std::uint64_t weight = rendezvousWeight(id, shard);
+        if (best.isEmpty() || weight > bestWeight) {
+            best = id;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+static bool isLive(const CoreState& state, const SessionId& session)
+{
+    return state.liveSessions.count(session) != 0;
+}
+
+InstanceId currentOwner(const CoreState& state, ShardIndex shard)
+{
+    const OwnershipRecord& record = state.shards[shard].record;
+    return isLive(state, record.session) ? record.owner : InstanceId();
+}
+
+static bool isMine(const CoreState& state, const OwnershipRecord& record)
+{
+    return !state.session.id.isEmpty() && record.session == state.session.id;
+}
+
+bool mayActOn(const CoreState& state, ShardIndex shard, TimePoint now)
+{
+    const ShardRow& row = state.shards[shard];
+    if (row.phase == ShardPhase::NotOwned || row.phase == ShardPhase::Claiming)
+        return false;
+    return isMine(state, row.record) && isSessionValid(state, now);
+}
+
+static void changePhase(ShardRow& row, ShardPhase phase, TimePoint now)
+{
+    row.phase = phase;
+    row.phaseSince = now;
+    row.nextTry = now;
+    row.writeInFlight = false;
+}
+
+static void forgetAttempts(CoreState& state, ShardIndex shard)
+{
+    std::vector<AttemptId> lost;
+    for (const auto& [id, attempt] : state.attempts) {
+        if (attempt.shard == shard)
+            lost.push_back(id);
+    }
+    for (const AttemptId& id : lost)
+        removeAttempt(state, id);
+    for (auto& [id, upstream] : state.upstreams) {
+        if (upstream.shard == shard)
+            upstream.fenced = false;
+    }
+}
+
+void forgetShard(CoreState& state, ShardIndex shard, TimePoint now, Actions&)
+{
+    ShardRow& row = state.shards[shard];
+    changePhase(row, ShardPhase::NotOwned, now);
+    row.jobsLoaded = false;
+    row.jobsRequested = false;
+    forgetJobs(state, shard);
+    forgetAttempts(state, shard);
+}
+
+static void becomeOwner(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
+{
+    changePhase(state.shards[shard], ShardPhase::Settling, now);
+    state.counters.add("shards_claimed_total");
+    logTo(actions, LogLevel::Info, "ownership", "claimed shard " + std::to_string(shard) + " at epoch " + std::to_string(state.shards[shard].record.epoch));
+}
+
+static void followOwnRecord(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
+{
+    ShardRow& row = state.shards[shard];
+    if (row.phase == ShardPhase::NotOwned || row.phase == ShardPhase::Claiming)
+        becomeOwner(state, shard, now, actions);
+    else if (row.phase == ShardPhase::Settling && row.jobsLoaded && row.record.unsettledFrom.empty())
+        changePhase(row, ShardPhase::Owned, now);
+}
+
+static void dischargeHandedOver(CoreState& state, ShardRow& row)
+{
+    for (const auto& [team, n] : row.handedOver)
+        chargeTeam(state, team, -n);
+    row.handedOver.clear();
+}
+
+void forgetAllShards(CoreState& state, TimePoint now, Actions& actions)
+{
+    for (ShardIndex shard = 0; shard < kShardCount; ++shard) {
+        dischargeHandedOver(state, state.shards[shard]);
+        if (state.shards[shard].phase != ShardPhase::NotOwned)
+            forgetShard(state, shard, now, actions);
+    }
+}
+
+static bool isUnsettledFromHere(const CoreState& state, const OwnershipRecord& record)
+{
+    const std::vector<SessionId>& from = record.unsettledFrom;
+    return std::find(from.begin(), from.end(), state.session.id) != from.end();
+}
+
+/// What was handed over goes on running against this session's grants, and stays
+/// charged here until the next owner has moved those grants.
+static void handOver(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
+{
+    std::map<TeamId, int> running = runningByTeam(state, shard);
+    forgetShard(state, shard, now, actions);
+    for (const auto& [team, n] : running) {
+        chargeTeam(state, team, n);
+        state.shards[shard].handedOver[team] += n;
+    }
+}
+
+void adoptOwnership(CoreState& state, ShardIndex shard, const OwnershipRecord& record, StoreRevision revision, TimePoint now, Actions& actions)
+{
+    ShardRow& row = state.shards[shard];
+    if (revision <= row.modRevision)
+        return;
+    row.record = record;
+    row.modRevision = revision;
+    if (!isUnsettledFromHere(state, record))
+        dischargeHandedOver(state, row);
+    if (isMine(state, record))
+        followOwnRecord(state, shard, now, actions);
+    else if (row.phase == ShardPhase::Releasing)
+        handOver(state, shard, now, actions);
+    else if (row.phase != ShardPhase::NotOwned)
+        forgetShard(state, shard, now, actions);
+}
+
+// Claiming.
+
+static void claim(CoreState& state, ShardIndex shard, TimePoint now)
+{
+    ShardRow& row = state.shards[shard];
+    OwnershipRecord record = row.record;
+    StoreTransaction transaction;
+    transaction.compares.push_back({ ownerKey(shard), row.modRevision });
+    if (!record.session.isEmpty()) {
+        // Gone from the store: the former owner's lease has lapsed, and so nothing
+        // that it still has under way can change the store.
+        transaction.compares.push_back({ memberKey(record.session), 0 });
+        record.unsettledFrom.push_back(record.session);
+    }
+    record.owner = state.settings.self;
+    record.session = state.session.id;
+    ++record.epoch;
+    transaction.puts.push_back({ ownerKey(shard), encodeOwnership(record), 0 });
+    enqueueWrite(state, std::move(transaction), ClaimPurpose { shard, record });
+    changePhase(row, ShardPhase::Claiming, now);
+}
+
+static bool mayClaim(const CoreState& state, ShardIndex shard, TimePoint now)
+{
+    const ShardRow& row = state.shards[shard];
+    if (state.shuttingDown || now < row.nextTry)
+        return false;
+    if (!row.record.session.isEmpty() && isLive(state, row.record.session))
+        return false;
+    return wantedOwner(state, shard) == state.settings.self;
+}
+
+void handleClaimOutcome(CoreState& state, const ClaimPurpose& purpose, bool committed, TimePoint now, Actions&)
+{
+    // A claim that took effect is taken in when the watch shows it, so that
+    // ownership always comes with the record's revision.
+    ShardRow& row = state.shards[purpose.shard];
+    if (committed || row.phase != ShardPhase::Claiming)
+        return;
+    changePhase(row, ShardPhase::NotOwned, now);
+    row.nextTry = now + kRetryInterval;
+}
+
+// Settling.
+
+static void requestJobs(CoreState& state, ShardIndex shard, Actions& actions)
+{
+    state.shards[shard].jobsRequested = true;
+    Ticket ticket = state.nextTicket++;
+    state.ranges[ticket] = jobPrefix(shard);
+    actions.push_back(StoreRange { ticket, jobPrefix(shard) });
+}
+
+void takeShardJobs(CoreState& state, ShardIndex shard, const StoreRangeResult& result, const Instant& now, Actions& actions)
+{
+    ShardRow& row = state.shards[shard];
+    if (row.phase != ShardPhase::Settling || row.jobsLoaded)
+        return;
+    row.jobsRequested = false;
+    row.nextTry = now.steady + kRetryInterval;
+    if (!result.ok)
+        return;
+    loadJobs(state, shard, result.entries, now, actions);
+    row.jobsLoaded = true;
+    row.nextTry = now.steady;
+}
+
+static void settle(CoreState& state, ShardIndex shard)
+{
+    ShardRow& row = state.shards[shard];
+    OwnershipRecord record = row.record;
+    GrantRecord grants = moveGrants(state.escrow.grants, record.unsettledFrom, state.session.id, runningByTeam(state, shard));
+    record.unsettledFrom.clear();
+    StoreTransaction transaction;
+    transaction.compares.push_back({ ownerKey(shard), row.modRevision });
+    transaction.compares.push_back({ kGrantsKey, state.escrow.modRevision });
+    transaction.puts.push_back({ ownerKey(shard), encodeOwnership(record), 0 });
+    transaction.puts.push_back({ kGrantsKey, encodeGrants(grants), 0 });
+    enqueueWrite(state, std::move(transaction), SettlePurpose { shard, record, grants });
+    row.writeInFlight = true;
+}
+
+static void runSettling(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
+{
+    ShardRow& row = state.shards[shard];
+    if (now < row.nextTry || row.writeInFlight)
+        return;
+    if (!row.jobsLoaded) {
+        if (!row.jobsRequested)
+            requestJobs(state, shard, actions);
+        return;
+    }
+    if (!isShardFenced(state, shard, now))
+        return;
+    if (row.record.unsettledFrom.empty())
+        changePhase(row, ShardPhase::Owned, now);
+    else
+        settle(state, shard);
+}
+
+void handleSettleOutcome(CoreState& state, const SettlePurpose& purpose, bool committed, TimePoint now, Actions&)
+{
+    ShardRow& row = state.shards[purpose.shard];
+    if (committed)
+        return;
+    // The grants have moved meanwhile; the next pass works from what the watch shows.
+    row.writeInFlight = false;
+    row.nextTry = now + kPassInterval;
+}
+
+// Handing over.
+
+static bool hasUnwrittenJobs(const CoreState& state, ShardIndex shard)
+{
+    return std::any_of(state.jobs.begin(), state.jobs.end(), [&](const JobTable::value_type& entry) {
+        const JobRow& job = entry.second;
+        return shardOf(job.record.id) == shard && (job.durableVersion < job.version || !job.waiters.empty());
+    });
+}
+
+static bool hasUrgentAttempts(const CoreState& state, ShardIndex shard)
+{
+    return std::any_of(state.attempts.begin(), state.attempts.end(), [&](const AttemptTable::value_type& entry) {
+        return entry.second.shard == shard && entry.second.urgent;
+    });
+}
+
+static void release(CoreState& state, ShardIndex shard)
+{
+    ShardRow& row = state.shards[shard];
+    OwnershipRecord record = row.record;
+    // What runs there goes on, charged to this session's grants until the next owner has taken it in.
+    record.unsettledFrom.push_back(record.session);
+    record.owner = InstanceId();
+    record.session = SessionId();
+    StoreTransaction transaction;
+    transaction.compares.push_back({ ownerKey(shard), row.modRevision });
+    transaction.puts.push_back({ ownerKey(shard), encodeOwnership(record), 0 });
+    enqueueWrite(state, std::move(transaction), ReleasePurpose { shard, record });
+    row.writeInFlight = true;
+}
+
+static void runReleasing(CoreState& state, ShardIndex shard, TimePoint now)
+{
+    ShardRow& row = state.shards[shard];
+    if (row.writeInFlight || now < row.nextTry || hasUnwrittenJobs(state, shard))
+        return;
+    if (hasUrgentAttempts(state, shard) && now - row.phaseSince < kReleaseGrace)
+        return;
+    release(state, shard);
+}
+
+void handleReleaseOutcome(CoreState& state, const ReleasePurpose& purpose, bool committed, TimePoint now, Actions&)
+{
+    // As with a claim, a release that took effect is taken in when the watch shows it.
+    ShardRow& row = state.shards[purpose.shard];
+    if (committed || row.phase != ShardPhase::Releasing)
+        return;
+    row.writeInFlight = false;
+    row.nextTry = now + kRetryInterval;
+}
+
+static bool shouldRelease(const CoreState& state, ShardIndex shard, TimePoint now)
+{
+    if (state.shuttingDown)
+        return true;
+    const ShardRow& row = state.shards[shard];
+    if (row.phase != ShardPhase::Owned || now - row.phaseSince < kMinimumTenure)
+        return false;
+    InstanceId wanted = wantedOwner(state, shard);
+    return wanted != state.settings.self && isPeerUp(state, wanted, now);
+}
+
+static int countReleasing(const CoreState& state)
+{
+    return static_cast<int>(std::count_if(state.shards.begin(), state.shards.end(),
+        [](const ShardRow& row) { return row.phase == ShardPhase::Releasing; }));
+}
+
+static void runShard(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
+{
+    ShardRow& row = state.shards[shard];
+    switch (row.phase) {
+    case ShardPhase::NotOwned:
+        if (mayClaim(state, shard, now))
+            claim(state, shard, now);
+        return;
+    case ShardPhase::Claiming:
+        return;
+    case ShardPhase::Settling:
+        if (state.shuttingDown)
+            changePhase(row, ShardPhase::Releasing, now);
+        else
+            runSettling(state, shard, now, actions);
+        return;
+    case ShardPhase::Owned:
+        if (shouldRelease(state, shard, now) && (state.shuttingDown || countReleasing(state) < kMaximumReleasesAtOnce))
+            changePhase(row, ShardPhase::Releasing, now);
+        return;
+    case ShardPhase::Releasing:
+        runReleasing(state, shard, now);
+        return;
+    }
+}
+
+void runOwnership(CoreState& state, const Instant& now, Actions& actions)
+{
+    if (now.steady < state.nextOwnershipPass)
+        return;
+    state.nextOwnershipPass = now.steady + kPassInterval;
+    if (!state.controlRead || !isSessionValid(state, now.steady))
+        return;
+    for (ShardIndex shard = 0; shard < kShardCount; ++shard)
+        runShard(state, shard, now.steady, actions);
+}
+
+} // namespace crocuslever
--- a/src/core/Ownership.h
+++ b/src/core/Ownership.h
@@ -12,9 +12,15 @@
 InstanceId currentOwner(const CoreState&, ShardIndex);
 /// True if this instance owns the shard and may act on its upstreams now.
 bool mayActOn(const CoreState&, ShardIndex, TimePoint now);
+/// Takes in the shard's record as the store holds it.
+void adoptOwnership(CoreState&, ShardIndex, const OwnershipRecord&, StoreRevision, TimePoint now, Actions&);
+/// Takes in the shard's jobs, as read after a claim.
+void takeShardJobs(CoreState&, ShardIndex, const StoreRangeResult&, const Instant& now, Actions&);
 void handleClaimOutcome(CoreState&, const ClaimPurpose&, bool committed, TimePoint now, Actions&);
 void handleSettleOutcome(CoreState&, const SettlePurpose&, bool committed, TimePoint now, Actions&);
 void handleReleaseOutcome(CoreState&, const ReleasePurpose&, bool committed, TimePoint now, Actions&);
+/// Drops every shard, at the end of a session.
+void forgetAllShards(CoreState&, TimePoint now, Actions&);
 /// Drops all that is kept under a shard that was lost or handed over.
 void forgetShard(CoreState&, ShardIndex, TimePoint now, Actions&);
 
--- a/src/core/Session.h
+++ b/src/core/Session.h
@@ -12,4 +12,7 @@
 /// own clock, or every other member says that the store answers nobody.
 bool isSessionValid(const CoreState&, TimePoint now);
 
+/// Gives the session up, and with it every shard; a new one begins.
+void endSession(CoreState&, const std::string& why, TimePoint now, Actions&);
+
 } // namespace crocuslever
--- /dev/null
+++ b/src/core/StoreWriter.cpp
@@ -0,0 +1,147 @@
+#include "src/core/StoreWriter.h"
+
+#include <algorithm>
+
+#include "src/core/Escrow.h"
+#include "src/core/Jobs.h"
+#include "src/core/Ownership.h"
+#include "src/core/Peers.h"
+#include "src/core/Session.h"
+#include "src/core/StoreKeys.h"
+
+namespace crocuslever {
+
+// A write whose answer is lost may have taken effect, or may take effect yet. So
+// each transaction of a session compares the session's key with the mark of the
+// one before and leaves its own mark there. Sent again, the same transaction
+// takes effect at most once, and a conflict shows by the mark which it was. The
+// key lies under the session's lease: once that has lapsed, nothing that the
+// session still has under way can change the store.
+
+void enqueueWrite(CoreState& state, StoreTransaction transaction, WritePurpose purpose)
+{
+    state.storeQueue.waiting.push_back({ std::move(transaction), std::move(purpose) });
+}
+
+static void guardTransaction(CoreState& state, StoreTransaction& transaction)
+{
+    StoreQueue& queue = state.storeQueue;
+    std::string key = sessionKey(state.session.id);
+    queue.mark = std::to_string(state.nextTicket);
+    if (queue.lastMark.empty())
+        transaction.compares.push_back({ key, 0 });
+    else
+        transaction.valueCompares.push_back({ key, queue.lastMark });
+    transaction.puts.push_back({ key, queue.mark, state.session.lease });
+    transaction.readOnConflict.push_back(key);
+}
+
+static void sendInFlight(CoreState& state, Actions& actions)
+{
+    StoreQueue& queue = state.storeQueue;
+    queue.inFlight->transaction.ticket = state.nextTicket++;
+    queue.awaitingAnswer = true;
+    state.counters.add("store_transactions_total");
+    actions.push_back(queue.inFlight->transaction);
+}
+
+void runStoreQueue(CoreState& state, TimePoint now, Actions& actions)
+{
+    StoreQueue& queue = state.storeQueue;
+    if (state.session.lease == 0 || queue.awaitingAnswer)
+        return;
+    if (queue.inFlight) {
+        if (now >= queue.retryAt)
+            sendInFlight(state, actions);
+        return;
+    }
+    if (queue.waiting.empty())
+        return;
+    queue.inFlight = std::move(queue.waiting.front());
+    queue.waiting.pop_front();
+    guardTransaction(state, queue.inFlight->transaction);
+    sendInFlight(state, actions);
+}
+
+namespace {
+
+/// Tells the system that asked for a write what became of it.
+struct PurposeDispatch {
+    CoreState& state;
+    bool committed;
+    const Instant& now;
+    Actions& actions;
+
+    void operator()(const RegisterPurpose&) const
+    {
+        if (committed)
+            state.session.registered = true;
+        else
+            endSession(state, "the member record could not be written", now.steady, actions);
+    }
+    void operator()(const ClaimPurpose& p) const { handleClaimOutcome(state, p, committed, now.steady, actions); }
+    void operator()(const SettlePurpose& p) const { handleSettleOutcome(state, p, committed, now.steady, actions); }
+    void operator()(const ReleasePurpose& p) const { handleReleaseOutcome(state, p, committed, now.steady, actions); }
+    void operator()(const GrantPurpose& p) const { handleGrantOutcome(state, p, committed, now.steady, actions); }
+    void operator()(const JobsPurpose& p) const { handleJobsOutcome(state, p, committed, now, actions); }
+};
+
+} // namespace
+
+static void finishWrite(CoreState& state, bool committed, const Instant& now, Actions& actions)
+{
+    StoreQueue& queue = state.storeQueue;
+    PendingWrite write = std::move(*queue.inFlight);
+    queue.inFlight.reset();
+    if (committed)
+        queue.lastMark = queue.mark;
+    state.counters.add(committed ? "store_commits_total" : "store_conflicts_total");
+    std::visit(PurposeDispatch { state, committed, now, actions }, write.purpose);
+}
+
+static std::string markRead(const CoreState& state, const std::vector<StoreEntry>& entries)
+{
+    std::string key = sessionKey(state.session.id);
+    auto it = std::find_if(entries.begin(), entries.end(), [&](const StoreEntry& entry) { return entry.key == key; });
+    return it == entries.end() ? std::string() : it->value;
+}
+
+static void resolveConflict(CoreState& state, const StoreTransactionResult& result, const Instant& now, Actions& actions)
+{
+    std::string mark = markRead(state, result.read);
+    if (mark == state.storeQueue.mark) {
+        state.counters.add("store_lost_answers_resolved_total");
+        finishWrite(state, true, now, actions);
+        return;
+    }
+    if (mark == state.storeQueue.lastMark) {
+        finishWrite(state, false, now, actions);
+        return;
+    }
+    // Gone: the lease has lapsed. Another mark: a transaction taken for failed
+    // took effect late. Neither leaves a session that can be trusted.
+    endSession(state, mark.empty() ? "its key is gone" : "a late transaction took effect", now.steady, actions);
+}
+
+void handleTransactionResult(CoreState& state, const StoreTransactionResult& result, const Instant& now, Actions& actions)
+{
+    StoreQueue& queue = state.storeQueue;
+    if (!queue.inFlight || result.ticket != queue.inFlight->transaction.ticket) {
+        state.counters.add("store_late_answers_total");
+        return;
+    }
+    constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
+    queue.awaitingAnswer = false;
+    if (result.outcome == StoreOutcome::Unknown) {
+        queue.retryAt = now.steady + kRetryAfter;
+        state.counters.add("store_unknown_outcomes_total");
+        return;
+    }
+    state.session.lastStoreAnswer = now.steady;
+    if (result.outcome == StoreOutcome::Committed)
+        finishWrite(state, true, now, actions);
+    else
+        resolveConflict(state, result, now, actions);
+}
+
+} // namespace crocuslever
