--- /dev/null
+++ b/src/codec/JsonFields.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "crocuslever/Error.h"
+
+namespace crocuslever {
+
+/// Collects the first thing found wrong with a JSON document.
+class JsonProblem {
+public:
+    explicit JsonProblem(std::string step);
+    void report(const std::string& path, const std::string& what);
+    bool isEmpty() const { return !m_error.has_value(); }
+    const Error& error() const { return *m_error; }
+
+private:
+    std::string m_step;
+    std::optional<Error> m_error;
+};
+
+/// Parses the text; on bad syntax reports it and returns a discarded value.
+nlohmann::json parseJson(const std::string& text, JsonProblem&);
+
+/// An inclusive range of integers.
+struct IntegerRange {
+    std::int64_t least { 0 };
+    std::int64_t most { std::numeric_limits<std::int64_t>::max() };
+};
+
+/// Reads the members of one JSON object by name. Never throws: a missing or
+/// mistyped member is reported and reads as an empty value.
+class JsonFields {
+public:
+    JsonFields(const nlohmann::json&, std::string path, JsonProblem&);
+
+    bool has(const char* key) const;
+    std::string pathOf(const std::string& key) const;
+    std::string text(const char* key);
+    std::string textNotEmpty(const char* key);
+    std::int64_t integer(const char* key, IntegerRange = {});
+    double number(const char* key);
+    /// The member, or an empty object or array of its own if it is missing or of another type.
+    const nlohmann::json& object(const char* key);
+    const nlohmann::json& array(const char* key);
+    /// Reports members that none of the calls above asked for.
+    void refuseUnknown();
+
+private:
+    const nlohmann::json* find(const char* key);
+    void report(const char* key, const std::string& what);
+
+    const nlohmann::json* m_object;
+    std::string m_path;
+    JsonProblem* m_problem;
+    mutable std::set<std::string> m_asked;
+};
+
+} // namespace crocuslever
