--- a/src/core/Ownership.cpp
+++ b/src/core/Ownership.cpp
@@ -83,29 +83,14 @@
     row.writeInFlight = false;
 }
 
-static void forgetAttempts(CoreState& state, ShardIndex shard)
-{
-    std::vector<AttemptId> lost;
-    for (const auto& [id, attempt] : state.attempts) {
-        if (attempt.shard == shard)
-            lost.push_back(id);
-    }
-    for (const AttemptId& id : lost)
-        removeAttempt(state, id);
-    for (auto& [id, upstream] : state.upstreams) {
-        if (upstream.shard == shard)
-            upstream.fenced = false;
-    }
-}
-
-void forgetShard(CoreState& state, ShardIndex shard, TimePoint now, Actions&)
+void forgetShard(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
 {
     ShardRow& row = state.shards[shard];
     changePhase(row, ShardPhase::NotOwned, now);
     row.jobsLoaded = false;
     row.jobsRequested = false;
     forgetJobs(state, shard);
-    forgetAttempts(state, shard);
+    forgetUpstreams(state, shard, now, actions);
 }
 
 static void becomeOwner(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
