--- /dev/null
+++ b/src/store/HttpClient.cpp
@@ -0,0 +1,427 @@
+#include "src/store/HttpClient.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <utility>
+
+namespace crocuslever {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+
+using Request = http::request<http::string_body>;
+using Parser = http::response_parser<http::string_body>;
+
+static std::optional<tcp::endpoint> parseEndpoint(const std::string& text)
+{
+    std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    std::string host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    error_code ec;
+    asio::ip::address address = asio::ip::make_address(host, ec);
+    int port = std::atoi(text.c_str() + colon + 1);
+    if (ec || port <= 0 || port > 65535)
+        return std::nullopt;
+    return tcp::endpoint(address, static_cast<unsigned short>(port));
+}
+
+static Request makeRequest(const HttpRequest& request, const std::string& host)
+{
+    constexpr int kHttp11 = 11;
+    Request message(http::string_to_verb(request.method), request.target, kHttp11);
+    message.set(http::field::host, host);
+    if (!request.body.empty())
+        message.set(http::field::content_type, "application/json");
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+static Error makeError(ErrorCode code, const HttpRequest& request, const std::string& peer, const error_code& ec)
+{
+    return Error { code, "http " + request.target, peer, ec.message() };
+}
+
+static ErrorCode codeOfReadFailure(const error_code& ec)
+{
+    return ec == http::error::body_limit ? ErrorCode::TooLarge : ErrorCode::Unknown;
+}
+
+namespace {
+
+/// One call from its queueing to its end.
+struct Call {
+    HttpRequest request;
+    HttpHandler handler;
+    std::size_t endpointsTried { 0 };
+};
+
+struct Connection {
+    explicit Connection(asio::io_context& io)
+        : stream(io)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buf;
+    std::string peer;
+    std::optional<Request> request;
+    std::optional<Parser> parser;
+    Call call;
+};
+
+} // namespace
+
+// A connection that its peer has closed, or that has bytes nobody asked for, can't carry a call.
+static bool isReusable(Connection& connection)
+{
+    error_code ec;
+    tcp::socket& socket = connection.stream.socket();
+    socket.non_blocking(true, ec);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block && connection.buf.size() == 0;
+}
+
+class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
+public:
+    Impl(asio::io_context& io, HttpClientSettings settings)
+        : m_io(io)
+        , m_settings(std::move(settings))
+    {
+    }
+
+    void send(Call call)
+    {
+        m_waiting.push_back(std::move(call));
+        asio::post(m_io, [self = shared_from_this()] { self->startWaiting(); });
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_waiting.clear();
+        m_idle.clear();
+        for (const ConnectionPtr& connection : m_busy)
+            connection->stream.close();
+    }
+
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    void startWaiting()
+    {
+        while (!m_stopped && !m_waiting.empty() && m_busy.size() < m_settings.maximumConnections) {
+            Call call = std::move(m_waiting.front());
+            m_waiting.pop_front();
+            start(std::move(call));
+        }
+    }
+
+    void start(Call call)
+    {
+        ++m_calls;
+        ConnectionPtr connection = takeIdle();
+        bool isOpen = connection != nullptr;
+        if (!isOpen)
+            connection = std::make_shared<Connection>(m_io);
+        m_busy.push_back(connection);
+        connection->call = std::move(call);
+        // One deadline over everything: a stopped peer still accepts connections and bytes.
+        connection->stream.expires_after(m_settings.timeout);
+        if (isOpen)
+            write(connection);
+        else
+            connect(connection);
+    }
+
+    ConnectionPtr takeIdle()
+    {
+        while (!m_idle.empty()) {
+            ConnectionPtr connection = m_idle.back();
+            m_idle.pop_back();
+            if (isReusable(*connection))
+                return connection;
+        }
+        return nullptr;
+    }
+
+    void connect(const ConnectionPtr& connection)
+    {
+        connection->peer = currentEndpoint();
+        std::optional<tcp::endpoint> endpoint = parseEndpoint(connection->peer);
+        if (!endpoint) {
+            failConnect(connection, asio::error::invalid_argument);
+            return;
+        }
+        connection->stream.async_connect(*endpoint, [self = shared_from_this(), connection](error_code ec) {
+            if (ec)
+                self->failConnect(connection, ec);
+            else
+                self->write(connection);
+        });
+    }
+
+    std::string currentEndpoint() const
+    {
+        if (m_settings.endpoints.empty())
+            return "";
+        return m_settings.endpoints[m_endpoint % m_settings.endpoints.size()];
+    }
+
+    void leaveEndpoint(const std::string& peer)
+    {
+        // Calls that fail together leave it once.
+        if (peer == currentEndpoint())
+            ++m_endpoint;
+        m_idle.clear();
+    }
+
+    void failConnect(const ConnectionPtr& connection, const error_code& ec)
+    {
+        leaveEndpoint(connection->peer);
+        bool isLast = ++connection->call.endpointsTried >= m_settings.endpoints.size();
+        if (isLast || m_stopped || ec == beast::error::timeout) {
+            finish(connection, makeError(ErrorCode::Unavailable, connection->call.request, connection->peer, ec));
+            return;
+        }
+        connection->stream.close();
+        connect(connection);
+    }
+
+    void write(const ConnectionPtr& connection)
+    {
+        if (m_stopped)
+            return;
+        connection->request = makeRequest(connection->call.request, connection->peer);
+        error_code ec;
+        connection->stream.socket().set_option(tcp::no_delay(true), ec);
+        http::async_write(connection->stream, *connection->request, [self = shared_from_this(), connection](error_code ec, std::size_t) {
+            if (ec)
+                self->failCall(connection, ec);
+            else
+                self->read(connection);
+        });
+    }
+
+    void read(const ConnectionPtr& connection)
+    {
+        connection->parser.emplace();
+        connection->parser->body_limit(m_settings.maximumBodyBytes);
+        http::async_read(connection->stream, connection->buf, *connection->parser, [self = shared_from_this(), connection](error_code ec, std::size_t) {
+            if (ec)
+                self->failCall(connection, ec);
+            else
+                self->finishRead(connection);
+        });
+    }
+
+    void failCall(const ConnectionPtr& connection, const error_code& ec)
+    {
+        ErrorCode code = codeOfReadFailure(ec);
+        if (code != ErrorCode::TooLarge)
+            leaveEndpoint(connection->peer);
+        finish(connection, makeError(code, connection->call.request, connection->peer, ec));
+    }
+
+    void finishRead(const ConnectionPtr& connection)
+    {
+        http::response<http::string_body> response = connection->parser->release();
+        HttpReply reply { static_cast<int>(response.result_int()), std::move(response.body()) };
+        constexpr int kServerError = 500;
+        if (reply.status >= kServerError)
+            leaveEndpoint(connection->peer);
+        else if (response.keep_alive())
+            keep(connection);
+        finish(connection, std::move(reply));
+    }
+
+    void keep(const ConnectionPtr& connection)
+    {
+        connection->stream.expires_never();
+        m_idle.push_back(connection);
+    }
+
+    void finish(const ConnectionPtr& connection, Result<HttpReply> result)
+    {
+        m_busy.erase(std::remove(m_busy.begin(), m_busy.end(), connection), m_busy.end());
+        if (m_stopped)
+            return;
+        Call call = std::move(connection->call);
+        startWaiting();
+        call.handler(std::move(result));
+    }
+
+    asio::io_context& m_io;
+    HttpClientSettings m_settings;
+    std::deque<Call> m_waiting;
+    std::vector<ConnectionPtr> m_idle;
+    std::vector<ConnectionPtr> m_busy;
+    std::size_t m_endpoint { 0 };
+    std::uint64_t m_calls { 0 };
+    bool m_stopped { false };
+};
+
+HttpClient::HttpClient(asio::io_context& io, HttpClientSettings settings)
+    : m_impl(std::make_shared<Impl>(io, std::move(settings)))
+{
+}
+
+HttpClient::~HttpClient() { stop(); }
+
+void HttpClient::send(HttpRequest request, HttpHandler handler)
+{
+    m_impl->send({ std::move(request), std::move(handler) });
+}
+
+void HttpClient::stop() { m_impl->stop(); }
+
+std::uint64_t HttpClient::calls() const { return m_impl->calls(); }
+
+class HttpStream::Impl : public std::enable_shared_from_this<HttpStream::Impl> {
+public:
+    Impl(asio::io_context& io, HttpStreamSettings settings, HttpRequest request, LineHandler onLine, EndHandler onEnd)
+        : m_stream(io)
+        , m_settings(std::move(settings))
+        , m_request(std::move(request))
+        , m_onLine(std::move(onLine))
+        , m_onEnd(std::move(onEnd))
+    {
+        m_parser.body_limit(boost::none);
+    }
+
+    void open()
+    {
+        std::optional<tcp::endpoint> endpoint = parseEndpoint(m_settings.endpoint);
+        if (!endpoint) {
+            asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->end(ErrorCode::Unavailable, asio::error::invalid_argument); });
+            return;
+        }
+        m_stream.expires_after(m_settings.openTimeout);
+        m_stream.async_connect(*endpoint, [self = shared_from_this()](error_code ec) {
+            if (ec)
+                self->end(ErrorCode::Unavailable, ec);
+            else
+                self->write();
+        });
+    }
+
+    void stop()
+    {
+        m_ended = true;
+        m_stream.close();
+    }
+
+private:
+    void write()
+    {
+        if (m_ended)
+            return;
+        m_message = makeRequest(m_request, m_settings.endpoint);
+        http::async_write(m_stream, m_message, [self = shared_from_this()](error_code ec, std::size_t) {
+            if (ec)
+                self->end(ErrorCode::Unknown, ec);
+            else
+                self->readHeader();
+        });
+    }
+
+    void readHeader()
+    {
+        http::async_read_header(m_stream, m_buf, m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
+            if (ec)
+                self->end(ErrorCode::Unknown, ec);
+            else
+                self->checkStatus();
+        });
+    }
+
+    void checkStatus()
+    {
+        if (m_ended)
+            return;
+        if (m_parser.get().result() == http::status::ok)
+            readSome();
+        else
+            end(ErrorCode::Unknown, http::make_error_code(http::error::bad_status));
+    }
+
+    void readSome()
+    {
+        m_stream.expires_after(m_settings.silenceTimeout);
+        http::async_read_some(m_stream, m_buf, m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
+            self->takeBody(ec);
+        });
+    }
+
+    void takeBody(const error_code& ec)
+    {
+        if (m_ended)
+            return;
+        m_text += m_parser.get().body();
+        m_parser.get().body().clear();
+        handLines();
+        if (m_ended)
+            return;
+        if (ec)
+            end(ErrorCode::Unknown, ec);
+        else if (m_parser.is_done())
+            end(ErrorCode::Unknown, http::make_error_code(http::error::end_of_stream));
+        else if (m_text.size() > m_settings.maximumLineBytes)
+            end(ErrorCode::TooLarge, http::make_error_code(http::error::body_limit));
+        else
+            readSome();
+    }
+
+    void handLines()
+    {
+        std::size_t begin = 0;
+        for (std::size_t n = m_text.find('\n'); n != std::string::npos && !m_ended; n = m_text.find('\n', begin)) {
+            std::string line = m_text.substr(begin, n - begin);
+            begin = n + 1;
+            m_onLine(line);
+        }
+        m_text.erase(0, begin);
+    }
+
+    void end(ErrorCode code, const error_code& ec)
+    {
+        if (m_ended)
+            return;
+        stop();
+        m_onEnd(makeError(code, m_request, m_settings.endpoint, ec));
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buf;
+    HttpStreamSettings m_settings;
+    HttpRequest m_request;
+    LineHandler m_onLine;
+    EndHandler m_onEnd;
+    Request m_message;
+    Parser m_parser;
+    std::string m_text; ///< Not yet a whole line.
+    bool m_ended { false };
+};
+
+HttpStream::HttpStream(asio::io_context& io, HttpStreamSettings settings, HttpRequest request, LineHandler onLine, EndHandler onEnd)
+    : m_impl(std::make_shared<Impl>(io, std::move(settings), std::move(request), std::move(onLine), std::move(onEnd)))
+{
+    m_impl->open();
+}
+
+HttpStream::~HttpStream() { m_impl->stop(); }
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/store/StoreWatcher.cpp
@@ -0,0 +1,125 @@
+#include "src/store/StoreWatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuslever {
+
+static constexpr Duration kFirstDelay = std::chrono::milliseconds(50);
+static constexpr Duration kLongestDelay = std::chrono::milliseconds(1000);
+static constexpr int kMostTimesBehind = 3;
+
+StoreWatcher::StoreWatcher(boost::asio::io_context& io, const StoreClientSettings& settings, EventSink sink)
+    : m_io(io)
+    , m_settings(settings)
+    , m_sink(std::move(sink))
+    , m_timer(io)
+{
+}
+
+void StoreWatcher::start(const StoreWatch& watch)
+{
+    stop();
+    m_watch = watch;
+    m_failures = 0;
+    m_timesBehind = 0;
+    open();
+}
+
+void StoreWatcher::stop()
+{
+    m_timer.cancel();
+    m_wait.reset();
+    m_stream.reset();
+}
+
+void StoreWatcher::open()
+{
+    if (m_settings.endpoints.empty())
+        return;
+    ++m_calls;
+    HttpStreamSettings settings;
+    settings.endpoint = m_settings.endpoints[m_endpoint % m_settings.endpoints.size()];
+    settings.openTimeout = m_settings.timeout;
+    settings.silenceTimeout = m_settings.watchSilence;
+    HttpRequest request { "POST", "/v3/watch", encodeWatch(m_watch) };
+    m_stream = std::make_unique<HttpStream>(
+        m_io, settings, request,
+        [this](const std::string& line) { takeLine(line); },
+        [this](const Error&) { reopenLater(); });
+}
+
+void StoreWatcher::takeLine(const std::string& line)
+{
+    Result<WatchAnswer> answer = decodeWatch(line);
+    if (!answer) {
+        reopenLater();
+        return;
+    }
+    if (answer.value().cancelled) {
+        giveUp();
+        return;
+    }
+    if (answer.value().created && isBehind(answer.value().revision)) {
+        retryBehind();
+        return;
+    }
+    m_failures = 0;
+    m_timesBehind = 0;
+    report(answer.value());
+}
+
+bool StoreWatcher::isBehind(StoreRevision storeRevision)
+{
+    if (m_watch.fromRevision == 0)
+        m_watch.fromRevision = storeRevision + 1;
+    return storeRevision < m_watch.fromRevision - 1;
+}
+
+void StoreWatcher::retryBehind()
+{
+    // A replica that lags, or a store that came back older. The first passes,
+    // or another endpoint is better; with the second the watch is worth nothing.
+    if (++m_timesBehind >= kMostTimesBehind)
+        giveUp();
+    else
+        reopenLater();
+}
+
+void StoreWatcher::report(const WatchAnswer& answer)
+{
+    std::uint64_t opening = m_calls;
+    for (const StoreWatchEvents& events : answer.events) {
+        // The sink may have started another watch or stopped this one.
+        if (!m_stream || m_calls != opening)
+            return;
+        if (events.revision < m_watch.fromRevision)
+            continue;
+        m_watch.fromRevision = events.revision + 1;
+        m_sink(events);
+    }
+}
+
+void StoreWatcher::reopenLater()
+{
+    m_stream.reset();
+    ++m_endpoint;
+    Duration delay = kFirstDelay * (1 << std::min(m_failures, 5));
+    ++m_failures;
+    m_timer.expires_after(std::min(delay, kLongestDelay));
+    m_wait = std::make_shared<Wait>();
+    // A wait that has run out can't be cancelled any more, but its holder may be gone.
+    m_timer.async_wait([this, wait = std::weak_ptr<Wait>(m_wait)](const boost::system::error_code& ec) {
+        if (!ec && !wait.expired())
+            open();
+    });
+}
+
+void StoreWatcher::giveUp()
+{
+    stop();
+    ++m_endpoint;
+    m_sink(StoreWatchLost {});
+}
+
+} // namespace crocuslever
