--- /dev/null
+++ b/tests/support/UpstreamServer.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+
+#include "tests/support/EventLog.h"
+#include "tests/support/UpstreamModel.h"
+
+namespace crocuslever::testing {
+
+struct UpstreamServerSettings {
+    UpstreamModelSettings model;
+    std::uint16_t port { 0 }; ///< On the loopback address; 0: any free one.
+    int connections { 64 }; ///< More at once are closed and logged as overcommit.
+};
+
+/// One simulated upstream behind an HTTP port.
+class UpstreamServer {
+public:
+    /// `log` may be null. Throws if the port can't be bound.
+    UpstreamServer(boost::asio::io_context&, const UpstreamServerSettings&, std::shared_ptr<EventLog> log);
+    ~UpstreamServer();
+    UpstreamServer(const UpstreamServer&) = delete;
+    UpstreamServer& operator=(const UpstreamServer&) = delete;
+
+    std::uint16_t port() const;
+    void setBehaviour(const UpstreamBehaviour&);
+    void stop();
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace crocuslever::testing
