Drive several cores by hand in one process, and test failures there

Cause: the core's protocol had not run as a whole yet. Three cores on models of store and upstreams, messages passed by hand: urgent requests and jobs end, a dead, frozen or stopping core loses and doubles nothing, lost store answers are resolved, a limit of 3 holds across a death and a return.

--- /dev/null
+++ b/tests/HandDrivenCellTest.cpp
@@ -0,0 +1,227 @@
+// The whole core without sockets, clocks or threads: several cores in one
+// process, their messages passed by hand.
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/support/HandDrivenCell.h"
+
+using namespace crocuslever;
+using namespace crocuslever::testing;
+
+namespace {
+
+const TeamId kTeam("shopfloor");
+const std::string kKey = "k1.secret";
+
+Configuration makeConfiguration(int upperLimit)
+{
+    Configuration configuration;
+    configuration.revision = 1;
+    Team team;
+    team.id = kTeam;
+    team.upperLimit = upperLimit;
+    team.keys.push_back({ "k1", "ab", hashKeySecret("ab", "secret") });
+    configuration.teams.push_back(team);
+    return configuration;
+}
+
+JobSubmission makeSubmission(const std::string& id, bool idempotent, int sleepMs)
+{
+    JobSubmission submission;
+    submission.idempotencyId = id;
+    submission.spec.service = "refit-plan";
+    submission.spec.idempotent = idempotent;
+    submission.spec.body = "{\"sleep_ms\":" + std::to_string(sleepMs) + "}";
+    return submission;
+}
+
+UrgentRequest makeLookup()
+{
+    UrgentRequest request;
+    request.spec.kind = WorkKind::Urgent;
+    request.spec.service = "lookup";
+    request.spec.idempotent = true;
+    request.spec.body = "{\"sleep_ms\":20}";
+    return request;
+}
+
+struct Fixture {
+    explicit Fixture(int upperLimit = 100)
+        : cell(3, 9, makeConfiguration(upperLimit))
+    {
+        BOOST_REQUIRE(cell.runUntil([&] { return cell.isSettled(); }));
+        cell.runFor(std::chrono::seconds(1));
+    }
+
+    JobState stateOf(std::size_t core, const JobId& job)
+    {
+        CallId id = cell.call(core, kKey, JobQuery { job, false });
+        BOOST_REQUIRE(cell.runUntil([&] { return cell.reply(id) != nullptr; }));
+        return cell.reply(id)->jobState;
+    }
+
+    bool waitForEnd(std::size_t core, const JobId& job)
+    {
+        for (int n = 0; n < 600; ++n) {
+            if (isFinal(stateOf(core, job)))
+                return true;
+            cell.runFor(std::chrono::milliseconds(100));
+        }
+        return false;
+    }
+
+    JobId submit(std::size_t core, const JobSubmission& submission)
+    {
+        CallId id = cell.call(core, kKey, submission);
+        BOOST_REQUIRE(cell.runUntil([&] { return cell.reply(id) != nullptr; }));
+        BOOST_REQUIRE_EQUAL(toString(cell.reply(id)->outcome), toString(CallOutcome::Accepted));
+        return cell.reply(id)->job;
+    }
+
+    HandDrivenCell cell;
+};
+
+struct SmallLimitFixture : Fixture {
+    SmallLimitFixture()
+        : Fixture(3)
+    {
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HandDrivenCellTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(AnUrgentRequestIsAnsweredThroughEveryCore)
+{
+    for (std::size_t n = 0; n < 3; ++n) {
+        CallId id = cell.call(n, kKey, makeLookup());
+        BOOST_REQUIRE(cell.runUntil([&] { return cell.reply(id) != nullptr; }, std::chrono::seconds(3)));
+        BOOST_TEST(toString(cell.reply(id)->outcome) == toString(CallOutcome::Done));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AJobRunsOnceAndItsResultIsSeenThroughAnotherCore)
+{
+    JobId job = submit(0, makeSubmission("plan-1", false, 50));
+    BOOST_TEST(waitForEnd(1, job));
+    BOOST_TEST(toString(stateOf(2, job)) == toString(JobState::Succeeded));
+    BOOST_TEST(cell.startsOf(job) == 1);
+    BOOST_TEST(submit(2, makeSubmission("plan-1", false, 50)).value() == job.value());
+    BOOST_TEST(cell.startsOf(job) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(LostStoreAnswersLoseAndDoubleNothing)
+{
+    for (std::size_t n = 0; n < 3; ++n)
+        cell.conduct(n).storeAnswersToLose = 20;
+    std::vector<JobId> jobs;
+    for (int n = 0; n < 20; ++n)
+        jobs.push_back(submit(static_cast<std::size_t>(n % 3), makeSubmission("lost-" + std::to_string(n), false, 30)));
+    for (const JobId& job : jobs) {
+        BOOST_TEST(waitForEnd(0, job));
+        BOOST_TEST(cell.startsOf(job) == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ADeadOwnersJobsAreTakenOverAndRunOnce)
+{
+    std::vector<JobId> jobs;
+    for (int n = 0; n < 30; ++n)
+        jobs.push_back(submit(static_cast<std::size_t>(n % 3), makeSubmission("kill-" + std::to_string(n), false, 3000)));
+    cell.conduct(1).alive = false;
+    for (const JobId& job : jobs) {
+        BOOST_TEST(waitForEnd(0, job));
+        BOOST_TEST(toString(stateOf(2, job)) == toString(JobState::Succeeded));
+        BOOST_TEST(cell.startsOf(job) == 1);
+    }
+    BOOST_TEST(cell.overlaps() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AFrozenOwnerThatWakesDoesNoHarm)
+{
+    std::vector<JobId> jobs;
+    for (int n = 0; n < 30; ++n)
+        jobs.push_back(submit(static_cast<std::size_t>(n % 3), makeSubmission("freeze-" + std::to_string(n), false, 1000)));
+    cell.conduct(1).frozen = true;
+    cell.runFor(std::chrono::seconds(10));
+    cell.conduct(1).frozen = false;
+    for (const JobId& job : jobs) {
+        BOOST_TEST(waitForEnd(1, job));
+        BOOST_TEST(cell.startsOf(job) == 1);
+    }
+    BOOST_TEST(cell.overlaps() == 0);
+    BOOST_TEST(cell.runUntil([&] { return cell.isSettled(); }));
+}
+
+BOOST_AUTO_TEST_CASE(OwnersGoOnWhileTheStoreAnswersNobody)
+{
+    for (std::size_t n = 0; n < 3; ++n)
+        cell.conduct(n).cutFromStore = true;
+    cell.runFor(std::chrono::seconds(12));
+    CallId urgent = cell.call(0, kKey, makeLookup());
+    CallId job = cell.call(0, kKey, makeSubmission("outage", false, 10));
+    BOOST_REQUIRE(cell.runUntil([&] { return cell.reply(urgent) != nullptr && cell.reply(job) != nullptr; }));
+    BOOST_TEST(toString(cell.reply(urgent)->outcome) == toString(CallOutcome::Done));
+    BOOST_TEST(toString(cell.reply(job)->outcome) == toString(CallOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(AnInstanceCutOffFromStoreAndPeersTakesNoWork)
+{
+    cell.conduct(2).cutFromStore = true;
+    cell.conduct(2).cutFromPeers = true;
+    cell.runFor(std::chrono::seconds(5));
+    CallId id = cell.call(2, kKey, makeLookup());
+    BOOST_REQUIRE(cell.runUntil([&] { return cell.reply(id) != nullptr; }));
+    BOOST_TEST(toString(cell.reply(id)->outcome) == toString(CallOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(NothingStartsInADomainThatIsOut)
+{
+    Configuration configuration = makeConfiguration(100);
+    configuration.revision = 2;
+    configuration.domainsOut.push_back({ FailureDomainId("north"), "power works" });
+    cell.applyConfiguration(configuration);
+    TimePoint out = cell.now().steady + std::chrono::seconds(1);
+    cell.runFor(std::chrono::seconds(1));
+    std::vector<JobId> jobs;
+    for (int n = 0; n < 20; ++n)
+        jobs.push_back(submit(0, makeSubmission("domain-" + std::to_string(n), true, 20)));
+    for (const JobId& job : jobs)
+        BOOST_TEST(waitForEnd(0, job));
+    for (TimePoint at : cell.startsIn(FailureDomainId("north")))
+        BOOST_TEST((at <= out));
+}
+
+BOOST_AUTO_TEST_CASE(AStoppingCoreHandsOverAndCutsNothing)
+{
+    std::vector<JobId> jobs;
+    for (int n = 0; n < 20; ++n)
+        jobs.push_back(submit(static_cast<std::size_t>(n % 3), makeSubmission("stop-" + std::to_string(n), false, 1500)));
+    Actions actions;
+    handleEvent(cell.core(1), ShutdownRequested {}, cell.now(), actions);
+    BOOST_TEST(cell.runUntil([&] { return !cell.conduct(1).alive; }, std::chrono::seconds(20)));
+    for (const JobId& job : jobs) {
+        BOOST_TEST(waitForEnd(0, job));
+        BOOST_TEST(cell.startsOf(job) == 1);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(ATeamNeverRunsMoreThanItsLimitAcrossDeathsAndReturns, SmallLimitFixture)
+{
+    std::vector<JobId> jobs;
+    for (int n = 0; n < 24; ++n)
+        jobs.push_back(submit(static_cast<std::size_t>(n % 3), makeSubmission("limit-" + std::to_string(n), false, 800)));
+    cell.runFor(std::chrono::seconds(1));
+    cell.conduct(1).alive = false;
+    cell.runFor(std::chrono::seconds(8));
+    cell.restart(1);
+    for (const JobId& job : jobs) {
+        BOOST_TEST(waitForEnd(0, job));
+        BOOST_TEST(cell.startsOf(job) == 1);
+    }
+    BOOST_TEST(cell.mostRunning(kTeam) <= 3);
+    BOOST_TEST(cell.mostRunning(kTeam) >= 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/HandDrivenCell.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "crocuslever/Core.h"
+#include "tests/support/StoreModel.h"
+#include "tests/support/UpstreamModel.h"
+
+namespace crocuslever::testing {
+
+/// How one core of the cell is treated.
+struct CoreConduct {
+    bool alive { true };
+    bool frozen { false }; ///< Runs nothing; what is sent to it waits.
+    bool cutFromStore { false };
+    bool cutFromPeers { false };
+    int storeAnswersToLose { 0 }; ///< The change takes effect, its answer is lost.
+};
+
+/// A few cores in one process, whose actions are carried out by hand on models of
+/// the store and the upstreams: no socket, clock or thread. Time moves in steps.
+class HandDrivenCell {
+public:
+    HandDrivenCell(int cores, int upstreams, const Configuration&);
+
+    /// One step of kStep for everything.
+    void step();
+    /// Steps until the condition holds; false if it didn't within `limit`.
+    bool runUntil(const std::function<bool()>& condition, Duration limit = std::chrono::seconds(60));
+    void runFor(Duration);
+
+    /// Hands a caller's request to a core; its reply appears in replies().
+    CallId call(std::size_t core, const std::string& key, std::variant<UrgentRequest, JobSubmission, JobQuery, JobCancellation>);
+    const CallerReply* reply(CallId) const;
+    void applyConfiguration(const Configuration&);
+    /// A new process in the place of a dead one.
+    void restart(std::size_t core);
+
+    CoreState& core(std::size_t n) { return *m_cores[n].state; }
+    CoreConduct& conduct(std::size_t n) { return m_cores[n].conduct; }
+    UpstreamModel& upstream(std::size_t n) { return m_upstreams[n].model; }
+    StoreModel& store() { return m_store; }
+    Instant now() const { return m_now; }
+    /// How often each job's tasks were started, over all upstreams.
+    int startsOf(const JobId&) const;
+    int startsOfTeam(const TeamId&) const;
+    /// The most that a team ever had running at once.
+    int mostRunning(const TeamId&) const;
+    /// Two running attempts of one job at the same time, ever.
+    int overlaps() const { return m_overlaps; }
+    /// Starts of any kind in a failure domain, by time.
+    std::vector<TimePoint> startsIn(const FailureDomainId&) const;
+    bool isSettled();
+    std::vector<std::string> log;
+
+    static constexpr Duration kStep = std::chrono::milliseconds(10);
+
+private:
+    struct Core {
+        std::unique_ptr<CoreState> state;
+        CoreConduct conduct;
+        std::deque<Event> inbox;
+        StoreRevision watchFrom { 0 };
+    };
+    struct Upstream {
+        UpstreamModel model;
+        UpstreamDescription description;
+    };
+    struct Start {
+        UpstreamStart command;
+        FailureDomainId domain;
+        TimePoint at;
+    };
+
+    void runCore(std::size_t n);
+    void carryOut(std::size_t n, const Actions&);
+    void deliverWatch(Core&);
+    void noteUpstreamEvents(Upstream&);
+    void noteRunning();
+    Upstream* findUpstream(const UpstreamId&);
+    CoreSettings settingsOf(std::size_t n) const;
+    UpstreamListUpdate list() const;
+
+    void execute(std::size_t n, const CallerReply&);
+    void execute(std::size_t n, const PeerSend&);
+    void execute(std::size_t n, const StoreTransaction&);
+    void execute(std::size_t n, const StoreRange&);
+    void execute(std::size_t n, const StoreLeaseGrant&);
+    void execute(std::size_t n, const StoreLeaseKeepAlive&);
+    void execute(std::size_t n, const StoreLeaseRevoke&);
+    void execute(std::size_t n, const StoreWatch&);
+    void execute(std::size_t n, const UpstreamFence&);
+    void execute(std::size_t n, const UpstreamStart&);
+    void execute(std::size_t n, const UpstreamSync&);
+    void execute(std::size_t n, const UpstreamStop&);
+    void execute(std::size_t n, const LogLine&);
+    void execute(std::size_t n, const ShutdownComplete&);
+
+    Instant m_now;
+    StoreModel m_store;
+    std::vector<Core> m_cores;
+    std::vector<Upstream> m_upstreams;
+    std::map<CallId, CallerReply> m_replies;
+    std::map<AttemptId, std::size_t> m_waiting; ///< Urgent attempts: which core waits for the end.
+    std::map<AttemptId, Start> m_running;
+    std::vector<Start> m_starts;
+    std::map<TeamId, int> m_mostRunning;
+    int m_overlaps { 0 };
+    CallId m_nextCall { 1 };
+    int m_lives { 0 };
+};
+
+} // namespace crocuslever::testing
