--- a/src/store/StoreJson.cpp
+++ b/src/store/StoreJson.cpp
@@ -77,9 +77,11 @@
     return "";
 }
 
-static bool readFlag(const json& value, const char* key)
+static bool readFlag(const json& value, const char* key, JsonProblem& problem)
 {
     const json& member = memberOf(value, key);
+    if (!member.is_null() && !member.is_boolean())
+        problem.report(key, "must be true or false");
     return member.is_boolean() && member.get<bool>();
 }
 
@@ -179,7 +181,7 @@
     json value = parseJson(body, problem);
     StoreTransactionResult result;
     result.revision = readRevision(value, problem);
-    result.outcome = readFlag(value, "succeeded") ? StoreOutcome::Committed : StoreOutcome::Conflict;
+    result.outcome = readFlag(value, "succeeded", problem) ? StoreOutcome::Committed : StoreOutcome::Conflict;
     for (const json& response : memberOf(value, "responses")) {
         for (StoreEntry& entry : readEntries(memberOf(response, "response_range"), problem))
             result.read.push_back(std::move(entry));
@@ -205,7 +207,7 @@
 {
     JsonProblem problem("store.range");
     json value = parseJson(body, problem);
-    RangePageResult result { readRevision(value, problem), readEntries(value, problem), readFlag(value, "more") };
+    RangePageResult result { readRevision(value, problem), readEntries(value, problem), readFlag(value, "more", problem) };
     if (result.more && result.entries.empty())
         problem.report("more", "is set on an empty page");
     if (!problem.isEmpty())
@@ -282,8 +284,8 @@
         problem.report("result", "is missing");
     WatchAnswer answer;
     answer.revision = readRevision(result, problem);
-    answer.created = readFlag(result, "created");
-    answer.cancelled = readFlag(result, "canceled");
+    answer.created = readFlag(result, "created", problem);
+    answer.cancelled = readFlag(result, "canceled", problem);
     for (const json& event : memberOf(result, "events"))
         addEvent(event, answer.events, problem);
     if (!problem.isEmpty())
--- /dev/null
+++ b/tests/support/FakeList.cpp
@@ -0,0 +1,40 @@
+#include "tests/support/FakeList.h"
+
+#include "src/daemon/SystemClock.h"
+
+namespace crocuslever::testing {
+
+FakeList::FakeList(boost::asio::io_context& io, const std::string& address, unsigned short port, Duration lag)
+    : m_http(io, address, port)
+    , m_lag(lag)
+{
+    m_http.route("GET", "/instances", [this](const ExchangePtr& exchange) {
+        exchange->reply(200, visible(readClock().steady));
+    });
+    m_http.route("PUT", "/instances", [this](const ExchangePtr& exchange) {
+        replaceAfterLag(exchange->request().body, readClock().steady);
+        exchange->reply(200, "{}");
+    });
+}
+
+void FakeList::set(const std::string& body)
+{
+    m_replacements.clear();
+    m_body = body;
+}
+
+void FakeList::replaceAfterLag(const std::string& body, TimePoint now)
+{
+    m_replacements.push_back({ now + m_lag, body });
+}
+
+const std::string& FakeList::visible(TimePoint now)
+{
+    while (!m_replacements.empty() && m_replacements.front().visibleFrom <= now) {
+        m_body = m_replacements.front().body;
+        m_replacements.pop_front();
+    }
+    return m_body;
+}
+
+} // namespace crocuslever::testing
--- /dev/null
+++ b/tests/support/FakeList.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <string>
+
+#include "crocuslever/Time.h"
+#include "tests/support/HttpFake.h"
+
+namespace crocuslever::testing {
+
+/// Stands in for the platform's list of instances: GET /instances shows it, PUT
+/// /instances replaces it, which shows only after the lag.
+class FakeList {
+public:
+    FakeList(boost::asio::io_context&, const std::string& address, unsigned short port, Duration lag);
+
+    std::string endpoint() const { return m_http.endpoint(); }
+    std::string url() const { return "http://" + endpoint() + "/instances"; }
+    /// In force at once.
+    void set(const std::string& body);
+    void replaceAfterLag(const std::string& body, TimePoint now);
+    const std::string& visible(TimePoint now);
+    void setFrozen(bool frozen) { m_http.setFrozen(frozen); }
+
+private:
+    struct Replacement {
+        TimePoint visibleFrom;
+        std::string body;
+    };
+
+    HttpFake m_http;
+    Duration m_lag;
+    std::string m_body { "[]" };
+    std::deque<Replacement> m_replacements;
+};
+
+} // namespace crocuslever::testing
