--- /dev/null
+++ b/tests/PeerTransportTest.cpp
@@ -0,0 +1,262 @@
+#include "src/peer/PeerTransport.h"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <zmq.hpp>
+
+#include "src/codec/PeerCodec.h"
+
+using namespace crocuslever;
+
+BOOST_AUTO_TEST_SUITE(PeerTransportTest)
+
+struct KeyPair {
+    std::string publicKey;
+    std::string secretKey;
+};
+
+static KeyPair makeKeys()
+{
+    std::array<char, 41> publicKey {};
+    std::array<char, 41> secretKey {};
+    BOOST_REQUIRE(zmq_curve_keypair(publicKey.data(), secretKey.data()) == 0);
+    return { publicKey.data(), secretKey.data() };
+}
+
+/// An instance that keeps what it hears.
+struct Instance {
+    Instance(boost::asio::io_context& context, const std::string& name, const std::optional<KeyPair>& keys, const std::string& bindAddress = "127.0.0.1:*")
+        : transport(context, makeSettings(name, keys, bindAddress), [this](Event event) { heard.push_back(std::get<PeerReceived>(std::move(event))); })
+    {
+        transport.setErrorHandler([this](const Error& error) { errors.push_back(error); });
+        BOOST_REQUIRE(transport.open().has_value());
+    }
+
+    static PeerTransportSettings makeSettings(const std::string& name, const std::optional<KeyPair>& keys, const std::string& bindAddress)
+    {
+        PeerTransportSettings settings;
+        settings.self = InstanceId(name);
+        settings.bindAddress = bindAddress;
+        settings.insecure = !keys;
+        if (keys) {
+            settings.publicKey = keys->publicKey;
+            settings.secretKey = keys->secretKey;
+        }
+        return settings;
+    }
+
+    void sendTo(const Instance& other, PeerMessage message)
+    {
+        transport.send({ InstanceId("other"), other.transport.boundAddress(), "", std::move(message) });
+    }
+
+    std::vector<PeerReceived> heard;
+    std::vector<Error> errors;
+    PeerTransport transport;
+};
+
+/// Runs until the condition holds; the limit is only there to end a run that hangs.
+static void runUntil(boost::asio::io_context& context, const std::function<bool()>& condition)
+{
+    std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+    while (!condition()) {
+        BOOST_REQUIRE(std::chrono::steady_clock::now() < limit);
+        context.restart();
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+}
+
+static void checkBurst(const std::optional<KeyPair>& keys)
+{
+    constexpr std::size_t kMessages = 5000;
+    boost::asio::io_context context;
+    Instance a(context, "e-1", keys);
+    Instance b(context, "e-2", keys);
+    for (std::size_t n = 0; n < kMessages; ++n) {
+        a.sendTo(b, ReleaseRequest { AttemptId("a" + std::to_string(n)) });
+        b.sendTo(a, ReleaseRequest { AttemptId("b" + std::to_string(n)) });
+    }
+    runUntil(context, [&] { return a.heard.size() >= kMessages && b.heard.size() >= kMessages; });
+    for (std::size_t n = 0; n < kMessages; ++n) {
+        BOOST_REQUIRE(std::get<ReleaseRequest>(b.heard[n].message).attempt.value() == "a" + std::to_string(n));
+        BOOST_REQUIRE(std::get<ReleaseRequest>(a.heard[n].message).attempt.value() == "b" + std::to_string(n));
+    }
+    BOOST_TEST(b.heard[0].from.value() == "e-1");
+    BOOST_TEST(a.transport.counters().messagesSent == kMessages);
+    BOOST_TEST(a.transport.counters().messagesReceived == kMessages);
+    BOOST_TEST(a.transport.counters().bytesSent == b.transport.counters().bytesReceived);
+    BOOST_TEST(a.transport.counters().dropped == 0u);
+    BOOST_TEST(a.transport.counters().refused == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(ABurstArrivesWholeAndInOrder) { checkBurst(makeKeys()); }
+
+BOOST_AUTO_TEST_CASE(ABurstArrivesWithoutEncryption) { checkBurst(std::nullopt); }
+
+BOOST_AUTO_TEST_CASE(MessagesSentWhileAnsweringArrive)
+{
+    // Each message is sent from within the handler of the last one, so that no wake is left over.
+    constexpr std::size_t kRounds = 500;
+    boost::asio::io_context context;
+    KeyPair keys = makeKeys();
+    Instance a(context, "e-1", keys);
+    Instance b(context, "e-2", keys);
+    std::size_t answered = 0;
+    a.sendTo(b, ReleaseRequest { AttemptId("x") });
+    runUntil(context, [&] {
+        if (b.heard.size() > answered) {
+            ++answered;
+            b.sendTo(a, ReleaseRequest { AttemptId("y") });
+        }
+        if (a.heard.size() == answered && answered == b.heard.size() && answered > 0)
+            a.sendTo(b, ReleaseRequest { AttemptId("x") });
+        return a.heard.size() >= kRounds;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(AnotherKeyGetsNothingThrough)
+{
+    boost::asio::io_context context;
+    KeyPair keys = makeKeys();
+    Instance server(context, "e-1", keys);
+    Instance friendly(context, "e-2", keys);
+    // Knows the cell's public key, but has a pair of its own.
+    KeyPair other = makeKeys();
+    zmq::context_t foreign;
+    zmq::socket_t stranger(foreign, zmq::socket_type::dealer);
+    stranger.set(zmq::sockopt::linger, 0);
+    stranger.set(zmq::sockopt::curve_serverkey, keys.publicKey);
+    stranger.set(zmq::sockopt::curve_publickey, other.publicKey);
+    stranger.set(zmq::sockopt::curve_secretkey, other.secretKey);
+    stranger.connect("tcp://" + server.transport.boundAddress());
+    stranger.send(zmq::str_buffer("e-3"), zmq::send_flags::sndmore);
+    stranger.send(zmq::buffer(encodePeerMessage(ConfigurationRequest {})), zmq::send_flags::none);
+    // And one that doesn't encrypt at all.
+    zmq::socket_t plain(foreign, zmq::socket_type::dealer);
+    plain.set(zmq::sockopt::linger, 0);
+    plain.connect("tcp://" + server.transport.boundAddress());
+    plain.send(zmq::str_buffer("e-4"), zmq::send_flags::sndmore);
+    plain.send(zmq::buffer(encodePeerMessage(ConfigurationRequest {})), zmq::send_flags::none);
+    runUntil(context, [&] { return server.transport.counters().refused > 0; });
+    for (int n = 0; n < 100; ++n)
+        friendly.sendTo(server, ConfigurationRequest {});
+    runUntil(context, [&] { return server.heard.size() >= 100; });
+    for (const PeerReceived& received : server.heard)
+        BOOST_TEST(received.from.value() == "e-2");
+}
+
+BOOST_AUTO_TEST_CASE(InstancesOfAnotherCellAreNotHeard)
+{
+    boost::asio::io_context context;
+    KeyPair keys = makeKeys();
+    Instance server(context, "e-1", keys);
+    Instance friendly(context, "e-2", keys);
+    Instance foreign(context, "e-9", makeKeys());
+    foreign.sendTo(server, ConfigurationRequest {});
+    friendly.sendTo(server, ConfigurationRequest {});
+    runUntil(context, [&] { return !server.heard.empty(); });
+    BOOST_TEST(server.heard.size() == 1u);
+    BOOST_TEST(server.heard[0].from.value() == "e-2");
+}
+
+BOOST_AUTO_TEST_CASE(GarbageIsCountedAndReported)
+{
+    boost::asio::io_context context;
+    Instance server(context, "e-1", std::nullopt);
+    zmq::context_t foreign;
+    zmq::socket_t stranger(foreign, zmq::socket_type::dealer);
+    stranger.set(zmq::sockopt::linger, 0);
+    stranger.connect("tcp://" + server.transport.boundAddress());
+    stranger.send(zmq::str_buffer("one frame"), zmq::send_flags::none);
+    stranger.send(zmq::str_buffer("e-3"), zmq::send_flags::sndmore);
+    stranger.send(zmq::str_buffer("not a message"), zmq::send_flags::none);
+    stranger.send(zmq::str_buffer(""), zmq::send_flags::sndmore);
+    stranger.send(zmq::buffer(encodePeerMessage(ConfigurationRequest {})), zmq::send_flags::none);
+    stranger.send(zmq::str_buffer("e-3"), zmq::send_flags::sndmore);
+    stranger.send(zmq::str_buffer("too"), zmq::send_flags::sndmore);
+    stranger.send(zmq::str_buffer("many"), zmq::send_flags::none);
+    stranger.send(zmq::str_buffer("e-3"), zmq::send_flags::sndmore);
+    stranger.send(zmq::buffer(encodePeerMessage(ConfigurationRequest {})), zmq::send_flags::none);
+    runUntil(context, [&] { return !server.heard.empty(); });
+    BOOST_TEST(server.transport.counters().malformed == 4u);
+    BOOST_REQUIRE(server.errors.size() == 4u);
+    BOOST_TEST(server.errors[1].step == "peer.receive");
+    BOOST_TEST(server.errors[1].peer == "e-3");
+}
+
+BOOST_AUTO_TEST_CASE(APeerThatComesBackIsReachedAgain)
+{
+    boost::asio::io_context context;
+    KeyPair keys = makeKeys();
+    Instance a(context, "e-1", keys);
+    std::unique_ptr<Instance> b = std::make_unique<Instance>(context, "e-2", keys);
+    std::string address = b->transport.boundAddress();
+    a.sendTo(*b, ConfigurationRequest {});
+    runUntil(context, [&] { return !b->heard.empty(); });
+    b.reset();
+    b = std::make_unique<Instance>(context, "e-2", keys, address);
+    runUntil(context, [&] {
+        a.sendTo(*b, ConfigurationRequest {});
+        return !b->heard.empty();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(AFullQueueDropsAndNeverBlocks)
+{
+    boost::asio::io_context context;
+    Instance a(context, "e-1", std::nullopt);
+    // Nobody listens there, since an instance of that address has gone.
+    std::string address = std::make_unique<Instance>(context, "e-2", std::nullopt)->transport.boundAddress();
+    for (int n = 0; n < 20000; ++n)
+        a.transport.send({ InstanceId("e-2"), address, "", ConfigurationRequest {} });
+    BOOST_TEST(a.transport.counters().dropped > 0u);
+    BOOST_TEST(a.transport.counters().dropped + a.transport.counters().messagesSent == 20000u);
+}
+
+BOOST_AUTO_TEST_CASE(AnAddressThatIsNoneIsReported)
+{
+    boost::asio::io_context context;
+    Instance a(context, "e-1", std::nullopt);
+    a.transport.send({ InstanceId("e-2"), "no such thing", "", ConfigurationRequest {} });
+    BOOST_TEST(a.transport.counters().dropped == 1u);
+    BOOST_REQUIRE(a.errors.size() == 1u);
+    BOOST_TEST(a.errors[0].step == "peer.send");
+}
+
+BOOST_AUTO_TEST_CASE(WrongSettingsAreRefused)
+{
+    boost::asio::io_context context;
+    KeyPair keys = makeKeys();
+    KeyPair mixed { keys.publicKey, makeKeys().secretKey };
+    for (const KeyPair& wrong : { KeyPair {}, KeyPair { "short", "short" }, mixed }) {
+        PeerTransport transport(context, Instance::makeSettings("e-1", wrong, "127.0.0.1:*"), [](const Event&) {});
+        Result<void> opened = transport.open();
+        BOOST_REQUIRE(opened.has_error());
+        BOOST_TEST(opened.error().message.find("key") != std::string::npos);
+    }
+    Instance a(context, "e-1", keys);
+    PeerTransport second(context, Instance::makeSettings("e-2", keys, a.transport.boundAddress()), [](const Event&) {});
+    Result<void> taken = second.open();
+    BOOST_REQUIRE(taken.has_error());
+    BOOST_TEST(taken.error().peer == a.transport.boundAddress());
+}
+
+BOOST_AUTO_TEST_CASE(StopLetsQueuedMessagesLeave)
+{
+    boost::asio::io_context context;
+    KeyPair keys = makeKeys();
+    Instance a(context, "e-1", keys);
+    Instance b(context, "e-2", keys);
+    a.sendTo(b, ConfigurationRequest {});
+    runUntil(context, [&] { return !b.heard.empty(); });
+    for (int n = 0; n < 100; ++n)
+        a.sendTo(b, ConfigurationRequest {});
+    a.transport.stop();
+    a.sendTo(b, ConfigurationRequest {});
+    runUntil(context, [&] { return b.heard.size() >= 101; });
+    BOOST_TEST(a.transport.counters().messagesSent == 101u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
