--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -98,7 +98,7 @@
     /// its first is left alone unless `unusedToo`.
     void closeIfIdle(bool unusedToo);
     void close();
-    bool isBusy() const { return m_phase != Phase::Closing && !(m_phase == Phase::Idle && m_used); }
+    bool isBusy() const { return m_phase != Phase::Closed && !(m_phase == Phase::Idle && m_used); }
 
 private:
     enum class Phase {
@@ -106,7 +106,8 @@
         Reading,
         Waiting, ///< For the core's reply.
         Writing,
-        Closing,
+        Lingering, ///< Answered; what the caller still sends is dropped.
+        Closed,
     };
 
     void onFirstBytes(error_code, std::size_t);
@@ -375,7 +376,7 @@
 void Connection::linger()
 {
     error_code ec;
-    m_phase = Phase::Closing;
+    m_phase = Phase::Lingering;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
     if (ec)
         return close();
@@ -406,7 +407,7 @@
 
 void Connection::close()
 {
-    m_phase = Phase::Closing;
+    m_phase = Phase::Closed;
     m_stream.close();
 }
 
--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,292 @@
+#include "src/daemon/Daemon.h"
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <sys/resource.h>
+#include <utility>
+
+#include "src/daemon/StatusReport.h"
+#include "src/daemon/SystemClock.h"
+
+namespace crocuslever {
+
+static constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+/// Bursts of events share a tick: its cost must not grow with their number.
+static constexpr Duration kLeastTickInterval = std::chrono::milliseconds(1);
+/// Past the core's own deadline, for answers that are still being written.
+static constexpr Duration kWritingLimit = std::chrono::seconds(5);
+static constexpr Duration kListReportInterval = std::chrono::seconds(30);
+
+static StoreClientSettings storeSettings(const Settings& settings)
+{
+    StoreClientSettings store;
+    store.endpoints = settings.storeEndpoints;
+    store.timeout = settings.storeTimeout;
+    return store;
+}
+
+static UpstreamClientSettings upstreamSettings(const Settings& settings)
+{
+    UpstreamClientSettings upstreams;
+    upstreams.timeout = settings.upstreamTimeout;
+    upstreams.connectionsPerUpstream = settings.connectionsPerUpstream;
+    upstreams.maximumResultBytes = settings.maximumResultBytes;
+    return upstreams;
+}
+
+static PeerTransportSettings peerSettings(const Settings& settings)
+{
+    PeerTransportSettings peers;
+    peers.self = settings.core.self;
+    peers.bindAddress = settings.peerBindAddress;
+    peers.publicKey = settings.core.peerPublicKey;
+    peers.secretKey = settings.peerSecretKey;
+    peers.insecure = settings.peersInsecure;
+    return peers;
+}
+
+static InstanceListSettings listSettings(const Settings& settings)
+{
+    InstanceListSettings list;
+    list.url = settings.instanceListUrl;
+    list.interval = settings.instanceListInterval;
+    return list;
+}
+
+Daemon::Daemon(const Settings& settings, Logger logger, const std::string& eventLogFile)
+    : m_settings(settings)
+    , m_logger(std::move(logger))
+    , m_eventLog(settings.core.self, eventLogFile)
+    , m_context(1)
+    , m_tickTimer(m_context)
+    , m_signals(m_context, SIGTERM, SIGINT)
+    , m_state(settings.core)
+    , m_store(m_context, storeSettings(settings), [this](Event event) { takeEvent(std::move(event)); })
+    , m_upstreams(m_context, upstreamSettings(settings), [this](Event event) { takeEvent(std::move(event)); })
+    , m_peers(m_context, peerSettings(settings), [this](Event event) { takeEvent(std::move(event)); })
+    , m_list(
+          m_context, listSettings(settings), [this](Event event) { takeEvent(std::move(event)); }, [this](const Error& error) { reportListFailure(error); })
+    , m_callers(m_context, settings.callers, [this](Event event) { takeEvent(std::move(event)); },
+          { [this] { return !m_shuttingDown && isReady(m_state, readClock().steady); }, [this] { return collectMetrics(); },
+              [this] { return formatStatus(m_state, readClock().steady); } })
+{
+    m_peers.setErrorHandler([this](const Error& error) { m_logger.write(LogLevel::Debug, error, readClock().wallMs); });
+}
+
+Result<void> Daemon::open()
+{
+    Result<void> peers = m_peers.open();
+    if (peers.has_error())
+        return peers;
+    return m_callers.open();
+}
+
+bool Daemon::run()
+{
+    m_state.startedAt = readClock().steady;
+    awaitSignal();
+    m_list.start();
+    scheduleTick(Duration::zero());
+    log(LogLevel::Info, "daemon", "started; callers at " + m_settings.callers.listenAddress + ", peers at " + m_settings.core.peerAddress);
+    m_context.run();
+    return m_clean;
+}
+
+void Daemon::takeEvent(Event event)
+{
+    // Edges may report from within a command, so events are queued, never handled in place.
+    m_events.push_back(std::move(event));
+    if (std::exchange(m_handlingPosted, true))
+        return;
+    boost::asio::post(m_context, [this] { handleEvents(); });
+}
+
+void Daemon::handleEvents()
+{
+    m_handlingPosted = false;
+    std::deque<Event> events = std::exchange(m_events, {});
+    m_loopCounters.add("events_total", static_cast<std::int64_t>(events.size()));
+    // The time is read anew for each: a lease may lapse while a burst is worked through.
+    for (const Event& event : events)
+        handleEvent(m_state, event, readClock(), m_actions);
+    dispatchActions();
+    Duration sinceTick = readClock().steady - m_lastTick;
+    if (sinceTick >= kLeastTickInterval)
+        runTick();
+    else
+        scheduleTick(kLeastTickInterval - sinceTick);
+}
+
+void Daemon::runTick()
+{
+    if (m_stopped)
+        return;
+    Instant now = readClock();
+    m_lastTick = now.steady;
+    tick(m_state, now, m_actions);
+    dispatchActions();
+    watchRevision(now.steady);
+    advanceShutdown(now.steady);
+    m_loopCounters.add("ticks_total");
+    m_loopCounters.add("tick_microseconds_total", (readClock().steady - now.steady).count());
+    scheduleTick(kTickInterval);
+}
+
+void Daemon::scheduleTick(Duration delay)
+{
+    if (m_stopped)
+        return;
+    m_tickTimer.expires_after(delay);
+    m_tickTimer.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec)
+            runTick();
+    });
+}
+
+void Daemon::dispatchActions()
+{
+    Actions actions = std::exchange(m_actions, {});
+    auto dispatch = [this](const auto& action) {
+        using Command = std::decay_t<decltype(action)>;
+        if constexpr (std::is_same_v<Command, StoreTransaction> || std::is_same_v<Command, StoreRange> || std::is_same_v<Command, StoreLeaseGrant> || std::is_same_v<Command, StoreLeaseKeepAlive> || std::is_same_v<Command, StoreLeaseRevoke> || std::is_same_v<Command, StoreWatch>)
+            m_store.execute(action);
+        else if constexpr (std::is_same_v<Command, UpstreamFence> || std::is_same_v<Command, UpstreamStart> || std::is_same_v<Command, UpstreamSync> || std::is_same_v<Command, UpstreamStop>)
+            m_upstreams.execute(action);
+        else
+            perform(action);
+    };
+    for (const Action& action : actions)
+        std::visit(dispatch, action);
+}
+
+void Daemon::perform(const CallerReply& reply) { m_callers.reply(reply); }
+
+void Daemon::perform(const PeerSend& message) { m_peers.send(message); }
+
+void Daemon::perform(const LogLine& line) { m_logger.write(line, readClock().wallMs); }
+
+void Daemon::perform(const ShutdownComplete& complete)
+{
+    m_coreFinished = true;
+    m_requestsLeft = complete.requestsLeft;
+}
+
+void Daemon::awaitSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code& ec, int) {
+        if (!ec)
+            handleSignal();
+    });
+}
+
+void Daemon::handleSignal()
+{
+    if (m_shuttingDown)
+        return stop(false, "a second signal");
+    m_shuttingDown = true;
+    m_shutdownSince = readClock().steady;
+    m_eventLog.write(m_shutdownSince, "shutdown", m_seenRevision);
+    m_callers.beginDraining();
+    takeEvent(ShutdownRequested {});
+    awaitSignal();
+}
+
+void Daemon::advanceShutdown(TimePoint now)
+{
+    if (!m_shuttingDown)
+        return;
+    if (m_coreFinished && !m_stoppedAccepting && now >= m_shutdownSince + m_settings.drainTime) {
+        m_stoppedAccepting = true;
+        m_callers.stopAccepting();
+    }
+    if (m_stoppedAccepting && m_callers.isDrained())
+        return stop(m_requestsLeft == 0, m_requestsLeft == 0 ? "all is answered and handed over" : "the shutdown deadline has passed");
+    if (now >= m_shutdownSince + std::max(m_settings.core.shutdownDeadline, m_settings.drainTime) + kWritingLimit)
+        stop(false, "the shutdown deadline has passed");
+}
+
+static std::string describeRest(const CoreState& state, int requestsLeft)
+{
+    std::size_t calls = std::max(state.calls.size(), static_cast<std::size_t>(requestsLeft));
+    return std::to_string(calls) + " calls, " + std::to_string(state.storeQueue.waiting.size()) + " store writes and "
+        + std::to_string(state.attempts.size()) + " attempts left";
+}
+
+void Daemon::stop(bool clean, const std::string& why)
+{
+    m_stopped = true;
+    m_clean = clean;
+    log(clean ? LogLevel::Info : LogLevel::Warning, "daemon", "stopped: " + why + "; " + describeRest(m_state, m_requestsLeft));
+    m_eventLog.write(readClock().steady, "stopped", m_seenRevision);
+    m_tickTimer.cancel();
+    m_signals.cancel();
+    m_callers.stop();
+    m_list.stop();
+    m_upstreams.stop();
+    m_store.stop();
+    m_peers.stop();
+    m_context.stop();
+}
+
+void Daemon::watchRevision(TimePoint now)
+{
+    std::uint64_t revision = m_state.configuration.current->revision;
+    bool ready = !m_shuttingDown && isReady(m_state, now);
+    if (revision != m_seenRevision)
+        m_eventLog.write(now, "configuration", revision);
+    if (ready != m_seenReady)
+        m_eventLog.write(now, ready ? "ready" : "not_ready", revision);
+    m_seenRevision = revision;
+    m_seenReady = ready;
+}
+
+void Daemon::reportListFailure(const Error& error)
+{
+    m_loopCounters.add("list_failures_total");
+    Instant now = readClock();
+    if (now.steady < m_nextListReport)
+        return;
+    m_nextListReport = now.steady + kListReportInterval;
+    m_logger.write(LogLevel::Warning, error, now.wallMs);
+}
+
+static void setProcessGauges(Counters& counters)
+{
+    constexpr std::int64_t kMicroseconds = 1000000;
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    std::int64_t seconds = usage.ru_utime.tv_sec + usage.ru_stime.tv_sec;
+    counters.set("process_cpu_microseconds_total", seconds * kMicroseconds + usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+    counters.set("process_maximum_resident_kilobytes", usage.ru_maxrss);
+}
+
+static void setPeerCounters(const PeerTransportCounters& peers, Counters& counters)
+{
+    counters.set("peer_messages_sent_total", static_cast<std::int64_t>(peers.messagesSent));
+    counters.set("peer_bytes_sent_total", static_cast<std::int64_t>(peers.bytesSent));
+    counters.set("peer_messages_received_total", static_cast<std::int64_t>(peers.messagesReceived));
+    counters.set("peer_bytes_received_total", static_cast<std::int64_t>(peers.bytesReceived));
+    counters.set("peer_messages_dropped_total", static_cast<std::int64_t>(peers.dropped));
+    counters.set("peer_messages_malformed_total", static_cast<std::int64_t>(peers.malformed));
+}
+
+std::string Daemon::collectMetrics()
+{
+    Counters counters = m_state.counters;
+    for (const auto& [name, value] : m_loopCounters.values())
+        counters.set(name, value);
+    setGauges(m_state, readClock().steady, counters);
+    setPeerCounters(m_peers.counters(), counters);
+    setProcessGauges(counters);
+    m_callers.report(counters);
+    counters.set("store_calls_total", static_cast<std::int64_t>(m_store.calls()));
+    counters.set("upstream_calls_total", static_cast<std::int64_t>(m_upstreams.calls()));
+    return formatMetrics(counters);
+}
+
+void Daemon::log(LogLevel level, const std::string& step, const std::string& message)
+{
+    m_logger.write({ level, step, {}, {}, message }, readClock().wallMs);
+}
+
+} // namespace crocuslever
--- /dev/null
+++ b/src/daemon/Daemon.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <string>
+
+#include "crocuslever/Core.h"
+#include "src/callers/CallerServer.h"
+#include "src/config/SettingsFile.h"
+#include "src/daemon/InstanceEventLog.h"
+#include "src/daemon/Logging.h"
+#include "src/peer/PeerTransport.h"
+#include "src/platform/InstanceListClient.h"
+#include "src/store/StoreClient.h"
+#include "src/upstream/UpstreamClient.h"
+
+namespace crocuslever {
+
+/// One entry instance: carries events from the edges to the core and the
+/// core's actions back, all on one thread.
+class Daemon {
+public:
+    Daemon(const Settings&, Logger, const std::string& eventLogFile);
+
+    /// Opens the ports that others reach it at.
+    Result<void> open();
+    /// Runs until SIGTERM or SIGINT has been served. True after a clean stop.
+    bool run();
+
+private:
+    void takeEvent(Event);
+    void handleEvents();
+    void runTick();
+    void scheduleTick(Duration);
+    void dispatchActions();
+
+    void perform(const CallerReply&);
+    void perform(const PeerSend&);
+    void perform(const LogLine&);
+    void perform(const ShutdownComplete&);
+
+    void awaitSignal();
+    void handleSignal();
+    void advanceShutdown(TimePoint now);
+    void stop(bool clean, const std::string& why);
+
+    void watchRevision(TimePoint now);
+    void reportListFailure(const Error&);
+    std::string collectMetrics();
+    void log(LogLevel, const std::string& step, const std::string& message);
+
+    Settings m_settings;
+    Logger m_logger;
+    InstanceEventLog m_eventLog;
+    boost::asio::io_context m_context;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::signal_set m_signals;
+    CoreState m_state;
+    StoreClient m_store;
+    UpstreamClient m_upstreams;
+    PeerTransport m_peers;
+    InstanceListClient m_list;
+    CallerServer m_callers;
+
+    std::deque<Event> m_events;
+    bool m_handlingPosted { false };
+    Actions m_actions;
+    TimePoint m_lastTick;
+    Counters m_loopCounters;
+
+    bool m_shuttingDown { false };
+    bool m_coreFinished { false };
+    bool m_stoppedAccepting { false };
+    bool m_stopped { false };
+    bool m_clean { false };
+    int m_requestsLeft { 0 };
+    TimePoint m_shutdownSince;
+
+    std::uint64_t m_seenRevision { 0 };
+    bool m_seenReady { false };
+    TimePoint m_nextListReport;
+};
+
+} // namespace crocuslever
--- a/tests/ConfigurationFileTest.cpp
+++ b/tests/ConfigurationFileTest.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "src/config/SettingsFile.h"
 #include "src/config/YamlReader.h"
 
 using namespace crocuslever;
@@ -165,6 +166,30 @@
         BOOST_TEST(parseConfigurationFile(text, "f").has_error(), text);
 }
 
+static std::string readExample(const std::string& name)
+{
+    std::filesystem::path examples = std::filesystem::path(__FILE__).parent_path().parent_path() / "examples";
+    std::ifstream file(examples / name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+BOOST_AUTO_TEST_CASE(TheExamplesAreValid)
+{
+    for (const char* name : { "asante/configuration.yaml", "cofre-livre/configuration.yaml" }) {
+        Result<Configuration> parsed = parseConfigurationFile(readExample(name), name);
+        BOOST_REQUIRE_MESSAGE(parsed.has_value(), parsed.error().message);
+        BOOST_TEST(parsed.value().teams.size() == 6);
+        for (const Team& team : parsed.value().teams)
+            BOOST_TEST((authenticate(parsed.value(), team.id.value() + "-1.example-" + team.id.value()) == team.id));
+    }
+    for (const char* name : { "asante/kumasi-1a.yaml", "cofre-livre/porto-1a.yaml" }) {
+        Result<Settings> parsed = parseSettingsFile(readExample(name), name);
+        BOOST_TEST(parsed.has_value(), (parsed.has_error() ? parsed.error().message : std::string()));
+    }
+}
+
 struct DurationText {
     const char* text;
     std::int64_t microseconds; ///< -1: refused.
