--- a/src/config/SettingsFile.h
+++ b/src/config/SettingsFile.h
@@ -30,7 +30,7 @@
     int connectionsPerUpstream { 32 };
     std::int64_t maximumResultBytes { 262144 };
 
-    Duration drainTime { std::chrono::seconds(1) }; ///< Callers are listened to at least this long after SIGTERM.
+    Duration drainTime { std::chrono::seconds(1) }; ///< After SIGTERM work goes on this long, until the balancer has seen /readyz fail.
 
     LogLevel logLevel { LogLevel::Info };
     std::string logFile; ///< Empty: standard error.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -107,8 +107,10 @@
     std::deque<Event> events = std::exchange(m_events, {});
     m_loopCounters.add("events_total", static_cast<std::int64_t>(events.size()));
     // The time is read anew for each: a lease may lapse while a burst is worked through.
-    for (const Event& event : events)
-        handleEvent(m_state, event, readClock(), m_actions);
+    for (const Event& event : events) {
+        if (!refuseAfterShutdown(event))
+            handleEvent(m_state, event, readClock(), m_actions);
+    }
     dispatchActions();
     Duration sinceTick = readClock().steady - m_lastTick;
     if (sinceTick >= kLeastTickInterval)
@@ -117,6 +119,22 @@
         scheduleTick(kLeastTickInterval - sinceTick);
 }
 
+bool Daemon::refuseAfterShutdown(const Event& event)
+{
+    // The lease has been given back: what is still read from open connections
+    // must not reach the core, which could not see it through any more.
+    const CallerCall* call = std::get_if<CallerCall>(&event);
+    if (!m_coreFinished || !call)
+        return false;
+    CallerReply reply;
+    reply.id = call->id;
+    reply.outcome = CallOutcome::NotRun;
+    reply.reason = RefusalReason::ShuttingDown;
+    reply.message = "this instance is stopping";
+    m_callers.reply(reply);
+    return true;
+}
+
 void Daemon::runTick()
 {
     if (m_stopped)
@@ -169,6 +187,7 @@
 {
     m_coreFinished = true;
     m_requestsLeft = complete.requestsLeft;
+    m_callers.stopAccepting();
 }
 
 void Daemon::awaitSignal()
@@ -187,7 +206,7 @@
     m_shutdownSince = readClock().steady;
     m_eventLog.write(m_shutdownSince, "shutdown", m_seenRevision);
     m_callers.beginDraining();
-    takeEvent(ShutdownRequested {});
+    log(LogLevel::Info, "daemon", "stopping; callers are served until the balancer has seen it");
     awaitSignal();
 }
 
@@ -195,13 +214,11 @@
 {
     if (!m_shuttingDown)
         return;
-    if (m_coreFinished && !m_stoppedAccepting && now >= m_shutdownSince + m_settings.drainTime) {
-        m_stoppedAccepting = true;
-        m_callers.stopAccepting();
-    }
-    if (m_stoppedAccepting && m_callers.isDrained())
+    if (now >= m_shutdownSince + m_settings.drainTime && !std::exchange(m_coreAsked, true))
+        takeEvent(ShutdownRequested {});
+    if (m_coreFinished && m_callers.isDrained())
         return stop(m_requestsLeft == 0, m_requestsLeft == 0 ? "all is answered and handed over" : "the shutdown deadline has passed");
-    if (now >= m_shutdownSince + std::max(m_settings.core.shutdownDeadline, m_settings.drainTime) + kWritingLimit)
+    if (now >= m_shutdownSince + m_settings.drainTime + m_settings.core.shutdownDeadline + kWritingLimit)
         stop(false, "the shutdown deadline has passed");
 }
 
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -32,6 +32,7 @@
 private:
     void takeEvent(Event);
     void handleEvents();
+    bool refuseAfterShutdown(const Event&);
     void runTick();
     void scheduleTick(Duration);
     void dispatchActions();
@@ -71,8 +72,8 @@
     Counters m_loopCounters;
 
     bool m_shuttingDown { false };
+    bool m_coreAsked { false }; ///< To shut down.
     bool m_coreFinished { false };
-    bool m_stoppedAccepting { false };
     bool m_stopped { false };
     bool m_clean { false };
     int m_requestsLeft { 0 };
