--- a/include/crocuslever/UpstreamTable.h
+++ b/include/crocuslever/UpstreamTable.h
@@ -43,7 +43,7 @@
     Epoch fencedEpoch { 0 };
     bool fenceInFlight { false };
     TimePoint nextFence;
-    int fenceTries { 0 }; ///< Failed in a row.
+    int silences { 0 }; ///< Calls without an answer, in a row.
     Epoch staleEpoch { 0 }; ///< It refused this epoch: the shard has another owner by now.
     IncarnationId incarnation;
 
--- a/src/core/Shares.cpp
+++ b/src/core/Shares.cpp
@@ -6,8 +6,7 @@
 
 namespace crocuslever {
 
-/// Heartbeats list their teams in order of id.
-static const TeamUsage* findUsage(const Heartbeat& beat, const TeamId& team)
+const TeamUsage* findUsage(const Heartbeat& beat, const TeamId& team)
 {
     auto it = std::lower_bound(beat.teams.begin(), beat.teams.end(), team,
         [](const TeamUsage& usage, const TeamId& id) { return usage.team < id; });
--- a/src/core/UpstreamAnswers.cpp
+++ b/src/core/UpstreamAnswers.cpp
@@ -7,6 +7,7 @@
 #include "src/core/Ownership.h"
 #include "src/core/Peers.h"
 #include "src/core/Reservations.h"
+#include "src/core/UpstreamHealth.h"
 #include "src/core/UpstreamIndex.h"
 #include "src/core/Upstreams.h"
 #include "src/core/Urgent.h"
@@ -17,19 +18,20 @@
 {
     row.reachable = true;
     row.lastAnswer = now;
-    row.fenceTries = 0;
+    row.silences = 0;
 }
 
 static void noteSilence(CoreState& state, UpstreamRow& row, TimePoint now)
 {
     row.reachable = false;
-    scheduleUpstream(state, row, now + retryPause(state, row.fenceTries++));
+    scheduleUpstream(state, row, now + retryPause(state, row.silences++));
 }
 
 /// The shard has another owner by now; the watch will tell.
 static void noteStaleEpoch(CoreState& state, UpstreamRow& row, Actions& actions)
 {
     row.staleEpoch = state.shards[row.shard].record.epoch;
+    state.session.supplanted = true;
     row.fenced = false;
     indexUpstream(state, row);
     state.counters.add("stale_epochs_total");
@@ -305,11 +307,16 @@
     }
 }
 
-static void noteStartReach(CoreState& state, UpstreamRow& row, const UpstreamStartResult& result, TimePoint now, Actions& actions)
+/// What the outcome says of the upstream, whatever becomes of the attempt.
+static void noteStartReach(CoreState& state, UpstreamRow& row, const AttemptRow& attempt, const UpstreamStartResult& result, TimePoint now, Actions& actions)
 {
     if (result.outcome == UpstreamOutcome::Unreachable)
         noteSilence(state, row, now);
-    else if (result.outcome == UpstreamOutcome::WrongIncarnation)
+    else if (result.outcome == UpstreamOutcome::Refused) {
+        // A pause until its next answer, or the same work would go back there at once.
+        noteSilence(state, row, now);
+        noteOutcome(state, row, attempt, false, now, actions);
+    } else if (result.outcome == UpstreamOutcome::WrongIncarnation)
         noteRestart(state, row, now, actions);
 }
 
@@ -324,7 +331,12 @@
     }
     AttemptRow& attempt = it->second;
     UpstreamRow& row = state.upstreams.at(attempt.upstream);
-    noteStartReach(state, row, result, now, actions);
+    if (result.outcome == UpstreamOutcome::Ok && result.incarnation != attempt.incarnation) {
+        // Another life can't have started it: not an answer to this start.
+        countIgnored(state, "start");
+        return;
+    }
+    noteStartReach(state, row, attempt, result, now, actions);
     if (!attempt.urgent)
         takeStartOutcome(state, row, attempt, result, now, actions);
     else if (result.outcome == UpstreamOutcome::StaleEpoch) {
--- a/src/core/UpstreamHealth.cpp
+++ b/src/core/UpstreamHealth.cpp
@@ -8,7 +8,7 @@
 namespace crocuslever {
 
 constexpr Duration kScoreHalfLife = std::chrono::seconds(60);
-constexpr double kQuarantineScore = 3; ///< In failed jobs.
+constexpr double kQuarantineScore = 2.5; ///< In failed jobs.
 constexpr double kRepeatWeight = 0.5; ///< Of a job from a source that already failed there.
 constexpr std::size_t kMaximumBlames = 16;
 constexpr Duration kFirstProbeDelay = std::chrono::seconds(15);
--- a/src/core/Upstreams.cpp
+++ b/src/core/Upstreams.cpp
@@ -154,7 +154,7 @@
 static bool isSettledWithout(const CoreState& state, const UpstreamRow& row, TimePoint now)
 {
     TimePoint since = state.shards[row.shard].phaseSince;
-    return !row.reachable && row.lastAnswer < since && now - since > longestLease(state);
+    return !row.reachable && now - since > longestLease(state);
 }
 
 bool isShardFenced(const CoreState& state, ShardIndex shard, TimePoint now)
@@ -244,7 +244,7 @@
     return now + withJitter(state, state.settings.idleSyncInterval);
 }
 
-void forgetUpstreams(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
+void forgetUpstreams(CoreState& state, ShardIndex shard, TimePoint, Actions& actions)
 {
     for (const UpstreamId& id : state.upstreams.byShard[shard]) {
         for (const AttemptId& attempt : attemptsOn(state, id)) {
@@ -255,7 +255,6 @@
         row.fenced = false;
         row.toAcknowledge.clear();
         row.acknowledgesSent = 0;
-        row.lastAnswer = std::min(row.lastAnswer, now);
         indexUpstream(state, row);
     }
 }
@@ -301,6 +300,7 @@
     if (now - row.callSince < kCallTimeout)
         return true;
     state.counters.add("upstream_calls_lost_total");
+    row.reachable = false;
     row.fenceInFlight = false;
     row.syncInFlight = false;
     return false;
--- a/src/core/Urgent.cpp
+++ b/src/core/Urgent.cpp
@@ -1,6 +1,8 @@
 #include "src/core/Urgent.h"
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 
 #include "src/core/Calls.h"
 #include "src/core/Escrow.h"
@@ -8,6 +10,7 @@
 #include "src/core/Placement.h"
 #include "src/core/Reservations.h"
 #include "src/core/Session.h"
+#include "src/core/Shares.h"
 #include "src/core/UpstreamIndex.h"
 #include "src/core/Upstreams.h"
 
@@ -16,9 +19,12 @@
 // Entry side.
 
 /// Owners that a call may be passed on to in all.
-static constexpr int kMaximumOwnerTries = 6;
+static constexpr int kMaximumOwnerTries = 8;
 static constexpr int kMaximumWaitingCalls = 256;
+static constexpr int kMaximumWaitingOfTeam = 64;
 static constexpr Duration kWaitForRoom = std::chrono::milliseconds(25);
+/// An owner that was asked in vain has a new grant by then, if there is any.
+static constexpr Duration kWaitForGrant = std::chrono::milliseconds(100);
 static constexpr Duration kRetryAfter = std::chrono::seconds(1);
 /// Less time than this is too short to run anything and answer.
 static constexpr Duration kLeastTime = std::chrono::milliseconds(10);
@@ -42,7 +48,7 @@
 /// The only honest answers without a result: it surely didn't run, or nobody knows.
 static void finishWithoutResult(CoreState& state, CallRow& row, RefusalReason reason, Actions& actions)
 {
-    if (row.sent)
+    if (row.unanswered > 0)
         finishCall(state, row.id, makeReply(row.id, CallOutcome::Unknown, reason), actions);
     else
         refuseCall(state, row, row.lastReason == RefusalReason::None ? reason : row.lastReason, actions);
@@ -70,6 +76,29 @@
     return owners;
 }
 
+/// True if the owner may run more of the team, by the grants and its last heartbeat.
+static bool hasGrant(const CoreState& state, const InstanceId& owner, const TeamId& team)
+{
+    auto grants = state.escrow.grants.find(team);
+    if (grants == state.escrow.grants.end())
+        return false;
+    const MemberRow& member = state.members.at(owner);
+    auto grant = grants->second.find(member.record.session);
+    if (grant == grants->second.end())
+        return false;
+    const TeamUsage* usage = findUsage(member.heartbeat, team);
+    return grant->second > (usage ? usage->running : 0);
+}
+
+/// Those with a grant left, or else all: being asked makes them want one.
+static std::vector<InstanceId> preferGranted(const CoreState& state, const std::vector<InstanceId>& owners, const TeamId& team)
+{
+    std::vector<InstanceId> granted;
+    std::copy_if(owners.begin(), owners.end(), std::back_inserter(granted),
+        [&](const InstanceId& id) { return hasGrant(state, id, team); });
+    return granted.empty() ? owners : granted;
+}
+
 static std::int64_t freeSlots(const CoreState& state, const InstanceId& id)
 {
     return state.members.at(id).heartbeat.urgentRoom.slots;
@@ -100,6 +129,7 @@
 {
     row.sentTo = owner;
     row.sent = true;
+    ++row.unanswered;
     row.nextTry = retrySafeAt(state, now);
     // Counted at once, since the next heartbeat is some way off.
     Resources& room = state.members.at(owner).heartbeat.urgentRoom;
@@ -113,56 +143,61 @@
     return row.urgent && !row.sent && row.nextTry != TimePoint();
 }
 
-static bool isQueueFull(const CoreState& state)
+/// One team's calls can't keep those of all others out.
+static bool isQueueFull(const CoreState& state, const TeamId& team)
 {
     int n = 0;
+    int ofTeam = 0;
     for (const auto& [id, row] : state.calls) {
-        if (isWaiting(row) && ++n >= kMaximumWaitingCalls)
+        if (!isWaiting(row))
+            continue;
+        ++n;
+        ofTeam += row.team == team ? 1 : 0;
+        if (n >= kMaximumWaitingCalls || ofTeam >= kMaximumWaitingOfTeam)
             return true;
     }
     return false;
 }
 
-static void waitForRoom(CoreState& state, CallRow& row, TimePoint now, Actions& actions)
+static void waitForRoom(CoreState& state, CallRow& row, Duration pause, TimePoint now, Actions& actions)
 {
-    if (!isWaiting(row) && isQueueFull(state)) {
-        refuseCall(state, row, RefusalReason::QueueFull, actions);
+    if (!isWaiting(row) && isQueueFull(state, row.team)) {
+        finishWithoutResult(state, row, RefusalReason::QueueFull, actions);
         return;
     }
     // By the next try those that refused may have room again.
     row.refusedBy.clear();
-    row.nextTry = now + kWaitForRoom;
+    row.nextTry = now + pause;
 }
 
 void routeUrgentCall(CoreState& state, CallRow& row, TimePoint now, Actions& actions)
 {
-    if (now + kLeastTime >= row.deadline) {
-        finishWithoutResult(state, row, RefusalReason::Overloaded, actions);
-        return;
-    }
-    if (row.tries >= kMaximumOwnerTries) {
+    if (now + kLeastTime >= row.deadline || row.tries >= kMaximumOwnerTries) {
         finishWithoutResult(state, row, RefusalReason::Overloaded, actions);
         return;
     }
     if (neverFits(state, neededRoom(row.spec))) {
-        refuseCall(state, row, RefusalReason::NeverFits, actions);
+        finishWithoutResult(state, row, RefusalReason::NeverFits, actions);
         return;
     }
     std::vector<InstanceId> owners = ownersWithRoom(state, row, now);
     if (owners.empty())
-        waitForRoom(state, row, now, actions);
+        waitForRoom(state, row, kWaitForRoom, now, actions);
     else
-        passOn(state, row, pickOwner(state, owners), now, actions);
+        passOn(state, row, pickOwner(state, preferGranted(state, owners, row.team)), now, actions);
 }
 
 static void takeRefusal(CoreState& state, CallRow& row, const InstanceId& from, RefusalReason reason, TimePoint now, Actions& actions)
 {
     row.sent = false;
+    --row.unanswered;
     row.nextTry = TimePoint();
     row.lastReason = reason;
     row.refusedBy.push_back(from);
     if (reason == RefusalReason::NeverFits)
-        refuseCall(state, row, reason, actions);
+        finishWithoutResult(state, row, reason, actions);
+    else if (reason == RefusalReason::TeamLimit)
+        waitForRoom(state, row, kWaitForGrant, now, actions);
     else
         routeUrgentCall(state, row, now, actions);
 }
@@ -214,7 +249,7 @@
         finishWithoutResult(state, row, row.sent ? RefusalReason::DeadlinePassed : RefusalReason::Overloaded, actions);
         return;
     }
-    if (row.callerGone && !row.sent) {
+    if (row.callerGone && row.unanswered == 0) {
         refuseCall(state, row, RefusalReason::Cancelled, actions);
         return;
     }
@@ -223,14 +258,47 @@
         routeUrgentCall(state, row, now, actions);
 }
 
+namespace {
+
+/// Place in line: the team that has the least of its share goes first, then the older call.
+struct Turn {
+    double share { 0 };
+    CallId id { 0 };
+
+    auto tie() const { return std::tie(share, id); }
+};
+
+} // namespace
+
+static bool needsLook(const CallRow& row, TimePoint now)
+{
+    if (!row.urgent)
+        return false;
+    return now >= row.deadline || now >= row.nextTry || (row.callerGone && row.unanswered == 0);
+}
+
+static std::vector<Turn> orderByShare(const CoreState& state, TimePoint now)
+{
+    std::map<TeamId, double> shares;
+    std::vector<Turn> turns;
+    for (const auto& [id, row] : state.calls) {
+        if (!needsLook(row, now))
+            continue;
+        auto it = shares.find(row.team);
+        if (it == shares.end())
+            it = shares.emplace(row.team, dominantShare(state, row.team, now)).first;
+        turns.push_back({ it->second, id });
+    }
+    std::sort(turns.begin(), turns.end(), [](const Turn& a, const Turn& b) { return a < b; });
+    return turns;
+}
+
 void runUrgentCalls(CoreState& state, TimePoint now, Actions& actions)
 {
-    for (auto it = state.calls.begin(); it != state.calls.end();) {
-        CallRow& row = it->second;
-        // The call may be finished, and its row erased.
-        ++it;
-        if (row.urgent)
-            runUrgentCall(state, row, now, actions);
+    for (const Turn& turn : orderByShare(state, now)) {
+        auto it = state.calls.find(turn.id);
+        if (it != state.calls.end())
+            runUrgentCall(state, it->second, now, actions);
     }
 }
 
--- /dev/null
+++ b/tests/UpstreamsTest.cpp
@@ -0,0 +1,322 @@
+#include "src/core/Upstreams.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "src/core/Escrow.h"
+#include "src/core/Placement.h"
+#include "src/core/Reservations.h"
+#include "src/core/UpstreamHealth.h"
+#include "tests/support/CoreFixture.h"
+
+using namespace crocuslever;
+using namespace crocuslever::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct UpstreamsFixture : CoreFixture {
+    int ignored(const std::string& kind) const { return static_cast<int>(state.counters.get("ignored_answers_total{kind=\"" + kind + "\"}")); }
+    ShardIndex shard() { return upstream("a").shard; }
+
+    /// Upstream "a" as taken over from another owner, with one task of job "j" running.
+    void adoptRunning()
+    {
+        list(describe("a"));
+        tickOwner();
+        answerFence("a", "life-1", { makeStatus("t1", "j", AttemptState::Running) });
+        take<UpstreamFence>();
+    }
+
+    void failJob(const std::string& upstreamName, const std::string& job, const std::string& team, bool failedElsewhere = false)
+    {
+        noteResult(upstreamName, job, team, failedElsewhere, false);
+    }
+    void succeed(const std::string& upstreamName) { noteResult(upstreamName, "good", "shop", false, true); }
+    void noteResult(const std::string& upstreamName, const std::string& job, const std::string& team, bool failedElsewhere, bool succeeded)
+    {
+        now += milliseconds(10);
+        AttemptRow row;
+        row.job = JobId(job);
+        row.team = TeamId(team);
+        row.failedElsewhere = failedElsewhere;
+        noteOutcome(state, upstream(upstreamName), row, succeeded, now, actions);
+    }
+    bool isQuarantined(const std::string& name) { return upstream(name).health == UpstreamHealth::Quarantined; }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamsTest, UpstreamsFixture)
+
+BOOST_AUTO_TEST_CASE(AnUpstreamIsFencedBeforeItGetsWork)
+{
+    list(describe("a"));
+    tickOwner();
+    std::vector<UpstreamFence> fences = take<UpstreamFence>();
+    BOOST_TEST_REQUIRE(fences.size() == 1);
+    BOOST_TEST(fences[0].epoch == state.shards[shard()].record.epoch);
+    BOOST_TEST(!acceptsWork(state, upstream("a"), now));
+    BOOST_TEST(!isShardFenced(state, shard(), now));
+    answerFence("a");
+    BOOST_TEST(acceptsWork(state, upstream("a"), now));
+    BOOST_TEST(isShardFenced(state, shard(), now));
+}
+
+BOOST_AUTO_TEST_CASE(AFenceIsRepeatedWithPauses)
+{
+    list(describe("a"));
+    std::size_t n = 0;
+    for (int i = 0; i < 100; ++i) {
+        advance(milliseconds(100));
+        for (const UpstreamFence& fence : take<UpstreamFence>()) {
+            ++n;
+            handleFenceResult(state, { fence.upstream, fence.shard, fence.epoch, UpstreamOutcome::Unreachable, {}, {} }, now, actions);
+        }
+    }
+    BOOST_TEST(n >= 6U);
+    BOOST_TEST(n <= 20U);
+}
+
+BOOST_AUTO_TEST_CASE(AFenceAdoptsWhatRunsAndReportsWhatEnded)
+{
+    list(describe("a"));
+    tickOwner();
+    AttemptStatus ended = makeStatus("t2", "j2", AttemptState::Ended);
+    ended.result = { true, 200, "plan" };
+    answerFence("a", "life-1", { makeStatus("t1", "j1", AttemptState::Running), ended });
+    BOOST_TEST(attempt("t1")->phase == AttemptPhase::Running);
+    BOOST_TEST(upstream("a").reserved.slots == 1);
+    BOOST_TEST(state.escrow.standings[TeamId("shop")].running == 1);
+    BOOST_TEST(runningByTeam(state, shard())[TeamId("shop")] == 1);
+    std::vector<AttemptReport> reports = takeMessages<AttemptReport>();
+    BOOST_TEST_REQUIRE(reports.size() == 1);
+    BOOST_TEST(reports[0].attempt == AttemptId("t2"));
+    BOOST_TEST(reports[0].result.body == "plan");
+}
+
+BOOST_AUTO_TEST_CASE(MoreThanTheCapacityLearntByAFenceIsJustNoRoom)
+{
+    list(describe("a"));
+    tickOwner();
+    std::vector<AttemptStatus> running;
+    running.reserve(10);
+    for (int i = 0; i < 10; ++i)
+        running.push_back(makeStatus("t" + std::to_string(i), "j", AttemptState::Running));
+    answerFence("a", "life-1", running);
+    BOOST_TEST(upstream("a").reserved.slots == 10);
+    BOOST_TEST(!placeTask(state, { WorkKind::Urgent, { 1, 1, 0, 1 }, false, {}, {} }, now).upstream.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ALateOrDoubledFenceAnswerChangesNothing)
+{
+    addUpstream("a");
+    UpstreamFenceResult old { UpstreamId("a"), shard(), state.shards[shard()].record.epoch, UpstreamOutcome::Ok, IncarnationId("life-0"), {} };
+    handleFenceResult(state, old, now, actions); // Doubled.
+    BOOST_TEST(ignored("fence") == 1);
+    BOOST_TEST(upstream("a").incarnation == IncarnationId("life-1"));
+    claimAnew(shard());
+    handleFenceResult(state, old, now, actions); // Of the epoch before.
+    BOOST_TEST(ignored("fence") == 2);
+    BOOST_TEST(!isShardFenced(state, shard(), now));
+    // The fence of the present epoch still comes to be.
+    take<UpstreamFence>();
+    tickOwner();
+    BOOST_TEST(take<UpstreamFence>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ARestartEndsWhatRanBeforeIt)
+{
+    adoptRunning();
+    advance(seconds(2));
+    BOOST_TEST_REQUIRE(take<UpstreamSync>().size() == 1U);
+    answerSync("a", UpstreamOutcome::WrongIncarnation);
+    BOOST_TEST(!acceptsWork(state, upstream("a"), now));
+    tickOwner();
+    answerFence("a", "life-2");
+    std::vector<AttemptReport> reports = takeMessages<AttemptReport>();
+    BOOST_TEST_REQUIRE(reports.size() == 1);
+    BOOST_TEST(reports[0].upstreamGone);
+    BOOST_TEST(upstream("a").reserved.slots == 0);
+    BOOST_TEST(acceptsWork(state, upstream("a"), now));
+}
+
+BOOST_AUTO_TEST_CASE(AShardIsFencedWithoutAnUpstreamOnlyOnceItsLeasesHaveLapsed)
+{
+    BOOST_TEST(!isShardFenced(state, 0, now)); // The list isn't known yet.
+    addUpstream("a");
+    claimAnew(shard());
+    handleFenceResult(state, { UpstreamId("a"), shard(), state.shards[shard()].record.epoch, UpstreamOutcome::Unreachable, {}, {} }, now, actions);
+    now += longestLease(state);
+    BOOST_TEST(!isShardFenced(state, shard(), now));
+    now += milliseconds(1);
+    BOOST_TEST(isShardFenced(state, shard(), now));
+    BOOST_TEST(!acceptsWork(state, upstream("a"), now));
+}
+
+BOOST_AUTO_TEST_CASE(LeasesAreRenewedOnlyWhileTheSessionIsValid)
+{
+    adoptRunning();
+    advance(milliseconds(1100));
+    std::vector<UpstreamSync> syncs = take<UpstreamSync>();
+    BOOST_TEST_REQUIRE(syncs.size() == 1);
+    BOOST_TEST(syncs[0].renew.size() == 1U);
+    answerSync("a", UpstreamOutcome::Ok, { makeStatus("t1", "j", AttemptState::Running) });
+    state.session.validUntil = now;
+    advance(seconds(3));
+    BOOST_TEST(take<UpstreamSync>().empty());
+    state.session.validUntil = now + std::chrono::hours(1);
+    advance(seconds(1));
+    BOOST_TEST(take<UpstreamSync>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnotherOwnersEpochStopsAllCallsToTheUpstream)
+{
+    adoptRunning();
+    advance(milliseconds(1100));
+    take<UpstreamSync>();
+    answerSync("a", UpstreamOutcome::StaleEpoch);
+    BOOST_TEST(state.session.supplanted);
+    BOOST_TEST(!acceptsWork(state, upstream("a"), now));
+    advance(seconds(20));
+    BOOST_TEST(take<UpstreamSync>().empty());
+    BOOST_TEST(take<UpstreamFence>().empty());
+    BOOST_TEST(take<UpstreamStop>().empty());
+    claimAnew(shard());
+    BOOST_TEST(take<UpstreamFence>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ASyncAnswerOfAnotherEpochOrUnaskedChangesNothing)
+{
+    adoptRunning();
+    AttemptStatus ended = makeStatus("t1", "j", AttemptState::Ended);
+    answerSync("a", UpstreamOutcome::Ok, { ended });
+    BOOST_TEST(ignored("sync") == 1);
+    advance(milliseconds(1100));
+    handleSyncResult(state, { UpstreamId("a"), shard(), 1, UpstreamOutcome::Ok, IncarnationId("life-1"), { ended } }, now, actions);
+    BOOST_TEST(ignored("sync") == 2);
+    BOOST_TEST(attempt("t1")->phase == AttemptPhase::Running);
+}
+
+BOOST_AUTO_TEST_CASE(AnAttemptOnAVanishedUpstreamEndsWhenItsLeaseHasLapsed)
+{
+    adoptRunning();
+    unlist("a");
+    BOOST_TEST_REQUIRE(attempt("t1") != nullptr);
+    TimePoint lapse = attempt("t1")->leaseUntil + kLeaseMargin;
+    while (now + milliseconds(100) < lapse) {
+        advance(milliseconds(100));
+        for (const UpstreamSync& sync : take<UpstreamSync>())
+            handleSyncResult(state, { sync.upstream, sync.shard, sync.epoch, UpstreamOutcome::Unreachable, {}, {} }, now, actions);
+        lapse = attempt("t1")->leaseUntil + kLeaseMargin;
+        if (now > TimePoint(std::chrono::hours(1)) + seconds(3))
+            state.session.validUntil = now; // No renewals from here on.
+    }
+    BOOST_TEST(takeMessages<AttemptReport>().empty());
+    advance(seconds(1));
+    std::vector<AttemptReport> reports = takeMessages<AttemptReport>();
+    BOOST_TEST_REQUIRE(!reports.empty());
+    BOOST_TEST(reports[0].upstreamGone);
+}
+
+BOOST_AUTO_TEST_CASE(NonIdempotentWorkOnASilentUpstreamWaitsForItsAnswer)
+{
+    adoptRunning();
+    advance(milliseconds(1100));
+    take<UpstreamSync>();
+    answerSync("a", UpstreamOutcome::Unknown);
+    state.session.validUntil = now;
+    advance(seconds(60));
+    BOOST_TEST(takeMessages<AttemptReport>().empty());
+    attempt("t1")->idempotent = true;
+    advance(seconds(1));
+    BOOST_TEST(takeMessages<AttemptReport>().size() >= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IdleUpstreamsAreSyncedSpreadOut)
+{
+    for (int i = 0; i < 50; ++i)
+        addUpstream("u" + std::to_string(i));
+    std::size_t most = 0;
+    for (int i = 0; i < 55; ++i) {
+        advance(milliseconds(100));
+        std::vector<UpstreamSync> syncs = take<UpstreamSync>();
+        most = std::max(most, syncs.size());
+        for (const UpstreamSync& sync : syncs)
+            answerSync(sync.upstream.value(), UpstreamOutcome::Ok);
+    }
+    BOOST_TEST(most > 0U);
+    BOOST_TEST(most < 20U);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatFailsWhatSucceedsElsewhereIsQuarantinedProbedAndLetBack)
+{
+    addUpstream("a");
+    addUpstream("b");
+    failJob("a", "j1", "shop");
+    succeed("b");
+    failJob("a", "j2", "other");
+    BOOST_TEST(!isQuarantined("a"));
+    failJob("a", "j3", "third");
+    BOOST_TEST(isQuarantined("a"));
+    PlacementRequest probe { WorkKind::Batch, { 1, 1, 0, 1 }, true, { UpstreamId("b") }, {} };
+    BOOST_TEST(!placeTask(state, probe, now).upstream.has_value());
+    now = upstream("a").probeAfter;
+    BOOST_TEST(placeTask(state, probe, now).upstream.has_value());
+    probe.probe = false; // Non-idempotent work isn't risked.
+    BOOST_TEST(!placeTask(state, probe, now).upstream.has_value());
+    succeed("a");
+    BOOST_TEST(upstream("a").health == UpstreamHealth::Probation);
+    failJob("a", "j4", "shop");
+    BOOST_TEST(isQuarantined("a"));
+    for (int i = 0; i < 4; ++i)
+        succeed("a");
+    BOOST_TEST(upstream("a").health == UpstreamHealth::Good);
+}
+
+BOOST_AUTO_TEST_CASE(OneJobsFailuresCountOnce)
+{
+    addUpstream("a");
+    addUpstream("b");
+    failJob("a", "j1", "shop");
+    succeed("b");
+    for (int i = 0; i < 10; ++i)
+        failJob("a", "j1", "shop");
+    BOOST_TEST(!isQuarantined("a"));
+}
+
+BOOST_AUTO_TEST_CASE(AJobThatFailsEverywhereIsNotBlamedOnUpstreams)
+{
+    addUpstream("a");
+    addUpstream("b");
+    for (int i = 0; i < 10; ++i) {
+        std::string job = "bad-" + std::to_string(i);
+        failJob("a", job, "team-" + std::to_string(i));
+        succeed("b");
+        failJob("b", job, "team-" + std::to_string(i), true);
+    }
+    BOOST_TEST(!isQuarantined("a"));
+    BOOST_TEST(!isQuarantined("b"));
+}
+
+BOOST_AUTO_TEST_CASE(WhereNothingSucceedsNobodyIsQuarantined)
+{
+    addUpstream("a");
+    for (int i = 0; i < 10; ++i)
+        failJob("a", "j" + std::to_string(i), "team-" + std::to_string(i));
+    BOOST_TEST(!isQuarantined("a"));
+}
+
+BOOST_AUTO_TEST_CASE(FailuresFarApartDoNotAddUp)
+{
+    addUpstream("a");
+    addUpstream("b");
+    for (int i = 0; i < 10; ++i) {
+        failJob("a", "j" + std::to_string(i), "team-" + std::to_string(i));
+        succeed("b");
+        now += std::chrono::minutes(5);
+    }
+    BOOST_TEST(!isQuarantined("a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
