Take each guard away in turn and show that its promise breaks

Cause: a proof that can't fail proves nothing. Found on the way: attempts lapsed at the upstream after 5 s, before a take-over was through (lease 4 s, claim, fence), so that an owner's death ended running non-idempotent work. The default lease is now 20 s. Ruled out: faster renewals, since a dead owner renews nothing.

--- a/include/crocuslever/Configuration.h
+++ b/include/crocuslever/Configuration.h
@@ -20,7 +20,9 @@
     Resources taskResources { 1000, 256, 0, 1 }; ///< For work that declares none.
     int maximumAttempts { 3 };
     Duration urgentDeadline { std::chrono::milliseconds(2300) };
-    Duration attemptLease { std::chrono::seconds(5) }; ///< Of deferred attempts at the upstream.
+    /// Of deferred attempts at the upstream. Several times the session's lease, so
+    /// that a take-over comes well before the tasks of a dead owner lapse.
+    Duration attemptLease { std::chrono::seconds(20) };
     Duration resultRetention { std::chrono::hours(24) };
     int urgentHeadroomPercent { 12 }; ///< Of each upstream's slots, kept from deferred work.
     int maximumQueuedJobs { 2000 }; ///< Per team and shard owner.
--- a/src/core/Calls.cpp
+++ b/src/core/Calls.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/core/Guards.h"
 #include "src/core/Ownership.h"
 #include "src/core/Peers.h"
 #include "src/core/Session.h"
@@ -209,7 +210,7 @@
 
 static bool changesNothing(const CallRow& row)
 {
-    return std::holds_alternative<JobQuery>(row.job->request) || row.unanswered <= 0;
+    return std::holds_alternative<JobQuery>(row.job->request) || row.unanswered <= 0 || !isOn(Guard::HonestRefusal);
 }
 
 static void expireJobCall(CoreState& state, const CallRow& row, Actions& actions)
--- a/src/core/ControlView.cpp
+++ b/src/core/ControlView.cpp
@@ -4,6 +4,7 @@
 
 #include "src/codec/RecordCodec.h"
 #include "src/core/Escrow.h"
+#include "src/core/Guards.h"
 #include "src/core/Jobs.h"
 #include "src/core/Ownership.h"
 #include "src/core/Peers.h"
@@ -36,11 +37,12 @@
         state.counters.add("configuration_reverts_refused_total");
         logTo(actions, LogLevel::Error, "configuration", "refused revision " + std::to_string(candidate.revision) + ", in force is " + std::to_string(current), source);
     }
-    if (candidate.revision <= current)
+    if (candidate.revision <= current && isOn(Guard::RevisionOrder))
         return false;
     state.configuration.current = std::make_shared<const Configuration>(candidate);
     state.configuration.document = document;
-    state.configuration.knownKeys.clear();
+    if (isOn(Guard::KeyCheck))
+        state.configuration.knownKeys.clear();
     state.counters.set("configuration_revision", static_cast<std::int64_t>(candidate.revision));
     logTo(actions, LogLevel::Info, "configuration", "revision " + std::to_string(candidate.revision) + " is in force", source);
     return true;
--- a/src/core/Escrow.cpp
+++ b/src/core/Escrow.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/codec/RecordCodec.h"
+#include "src/core/Guards.h"
 #include "src/core/Ownership.h"
 #include "src/core/Peers.h"
 #include "src/core/Session.h"
@@ -17,6 +18,8 @@
 int teamRoom(const CoreState& state, const TeamId& team)
 {
     auto it = state.escrow.standings.find(team);
+    if (!isOn(Guard::TeamRoom))
+        return 1;
     if (it == state.escrow.standings.end())
         return 0;
     return std::max(0, it->second.granted - it->second.running);
@@ -86,6 +89,8 @@
 GrantRecord moveGrants(const GrantRecord& before, const std::vector<SessionId>& from, const SessionId& to, const std::map<TeamId, int>& moved)
 {
     GrantRecord grants = before;
+    if (!isOn(Guard::MoveGrants))
+        return grants;
     for (const auto& [team, count] : moved) {
         int left = count;
         for (const SessionId& session : from) {
--- a/src/core/JobStore.cpp
+++ b/src/core/JobStore.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/codec/RecordCodec.h"
+#include "src/core/Guards.h"
 #include "src/core/JobSteps.h"
 #include "src/core/Jobs.h"
 #include "src/core/Ownership.h"
@@ -125,6 +126,8 @@
     job.bodyDurable = true;
     job.progress.resize(job.record.tasks.size());
     for (std::size_t i = 0; i < job.record.tasks.size(); ++i) {
+        if (!isOn(Guard::AskBeforeRetry))
+            job.record.tasks[i].assignment.reset();
         if (job.record.tasks[i].assignment)
             job.progress[i].recovered = true;
     }
--- a/src/core/Jobs.cpp
+++ b/src/core/Jobs.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "src/core/Guards.h"
 #include "src/core/JobSteps.h"
 #include "src/core/Ownership.h"
 #include "src/core/Peers.h"
@@ -134,7 +135,7 @@
         progress.asked = AttemptId();
         --state.jobSchedule.asking;
     }
-    if (!record.assignment || record.ended || !isDurable(job))
+    if (!record.assignment || record.ended || (!isDurable(job) && isOn(Guard::DurableAssignment)))
         return;
     bool wasSent = progress.startSent || progress.recovered;
     if (!wasSent && !job.record.cancelRequested)
--- a/src/core/Ownership.cpp
+++ b/src/core/Ownership.cpp
@@ -4,6 +4,7 @@
 
 #include "src/codec/RecordCodec.h"
 #include "src/core/Escrow.h"
+#include "src/core/Guards.h"
 #include "src/core/Jobs.h"
 #include "src/core/Peers.h"
 #include "src/core/Reservations.h"
@@ -137,6 +138,8 @@
 {
     std::map<TeamId, int> running = runningByTeam(state, shard);
     forgetShard(state, shard, now, actions);
+    if (!isOn(Guard::HandOverCharge))
+        return;
     for (const auto& [team, n] : running) {
         chargeTeam(state, team, n);
         state.shards[shard].handedOver[team] += n;
--- a/src/core/Session.cpp
+++ b/src/core/Session.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/codec/RecordCodec.h"
+#include "src/core/Guards.h"
 #include "src/core/Ownership.h"
 #include "src/core/Peers.h"
 #include "src/core/StoreKeys.h"
@@ -44,7 +45,7 @@
 {
     if (state.session.id.isEmpty() || !state.session.registered)
         return false;
-    return now < state.session.validUntil || isStoreDownForAll(state, now);
+    return now < state.session.validUntil || isStoreDownForAll(state, now) || !isOn(Guard::Validity);
 }
 
 void endSession(CoreState& state, const std::string& why, TimePoint now, Actions& actions)
--- a/src/core/Shutdown.cpp
+++ b/src/core/Shutdown.cpp
@@ -1,5 +1,6 @@
 #include "src/core/Shutdown.h"
 
+#include "src/core/Guards.h"
 #include "src/core/Peers.h"
 
 namespace crocuslever {
@@ -31,7 +32,7 @@
 {
     if (!state.shuttingDown || state.shutdownReported)
         return;
-    if (!isIdle(state) && now < state.shutdownDeadline)
+    if (!isIdle(state) && now < state.shutdownDeadline && isOn(Guard::ShutdownWait))
         return;
     state.shutdownReported = true;
     if (state.session.lease != 0)
--- a/src/core/Upstreams.cpp
+++ b/src/core/Upstreams.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "src/core/Guards.h"
 #include "src/core/Ownership.h"
 #include "src/core/Peers.h"
 #include "src/core/Reservations.h"
@@ -139,11 +140,11 @@
 
 bool isInService(const CoreState& state, const UpstreamRow& row, TimePoint now)
 {
-    if (!row.listed || !row.reachable || row.description.leaving)
+    if (!row.listed || !row.reachable || (row.description.leaving && isOn(Guard::LeavingCheck)))
         return false;
     if (state.shards[row.shard].phase != ShardPhase::Owned || !mayCall(state, row, now))
         return false;
-    return !state.configuration.current->isDomainOut(row.description.domain);
+    return !state.configuration.current->isDomainOut(row.description.domain) || !isOn(Guard::DomainCheck);
 }
 
 bool acceptsWork(const CoreState& state, const UpstreamRow& row, TimePoint now)
--- /dev/null
+++ b/tests/guards/GuardsTest.cpp
@@ -0,0 +1,292 @@
+// Each promise is kept in a scenario of failures, and broken in the same
+// scenario once the check that keeps it is taken away.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <optional>
+
+#include "src/core/Guards.h"
+#include "tests/support/HandDrivenCell.h"
+
+using namespace crocuslever;
+using namespace crocuslever::testing;
+
+namespace {
+
+const TeamId kTeam("shopfloor");
+const std::string kKey = "k1.secret";
+constexpr int kSeeds = 6;
+/// The users' bound on drains, withdrawn keys and leaving upstreams.
+constexpr Duration kFewSeconds = std::chrono::seconds(5);
+
+Configuration makeConfiguration(std::uint64_t revision, int upperLimit)
+{
+    Configuration configuration;
+    configuration.revision = revision;
+    Team team;
+    team.id = kTeam;
+    team.upperLimit = upperLimit;
+    team.keys.push_back({ "k1", "ab", hashKeySecret("ab", "secret") });
+    configuration.teams.push_back(team);
+    return configuration;
+}
+
+JobSubmission makeJob(const std::string& id, bool idempotent, int sleepMs)
+{
+    JobSubmission submission;
+    submission.idempotencyId = id;
+    submission.spec.service = "refit-plan";
+    submission.spec.idempotent = idempotent;
+    submission.spec.body = "{\"sleep_ms\":" + std::to_string(sleepMs) + "}";
+    return submission;
+}
+
+UrgentRequest makeLookup(int sleepMs)
+{
+    UrgentRequest request;
+    request.spec.kind = WorkKind::Urgent;
+    request.spec.service = "lookup";
+    request.spec.idempotent = true;
+    request.spec.body = "{\"sleep_ms\":" + std::to_string(sleepMs) + "}";
+    return request;
+}
+
+HandDrivenCell makeCell(std::uint64_t seed, int upperLimit, int upstreams = 9)
+{
+    HandDrivenCell cell(3, upstreams, makeConfiguration(1, upperLimit), seed);
+    BOOST_REQUIRE(cell.runUntil([&] { return cell.isSettled(); }));
+    cell.runFor(std::chrono::seconds(1));
+    return cell;
+}
+
+std::vector<JobId> submitMany(HandDrivenCell& cell, int n, bool idempotent, int sleepMs)
+{
+    std::vector<JobId> jobs;
+    for (int i = 0; i < n; ++i) {
+        JobSubmission job = makeJob("job-" + std::to_string(i), idempotent, sleepMs);
+        cell.call(static_cast<std::size_t>(i % 3), kKey, job);
+        jobs.push_back(makeJobId(kTeam, job.idempotencyId));
+    }
+    return jobs;
+}
+
+int doubledStarts(const HandDrivenCell& cell, const std::vector<JobId>& jobs)
+{
+    return static_cast<int>(std::count_if(jobs.begin(), jobs.end(), [&](const JobId& job) { return cell.startsOf(job) > 1; }));
+}
+
+int countAfter(const std::vector<TimePoint>& times, TimePoint limit)
+{
+    return static_cast<int>(std::count_if(times.begin(), times.end(), [&](TimePoint at) { return at > limit; }));
+}
+
+// Scenarios: how often the promise was broken.
+
+int overcommit(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    for (int n = 0; n < 60; ++n) {
+        JobSubmission job = makeJob("large-" + std::to_string(n), true, 2000);
+        job.spec.resources.memoryMb = 100000;
+        cell.call(static_cast<std::size_t>(n % 3), kKey, job);
+    }
+    cell.runFor(std::chrono::seconds(6));
+    return cell.overcommits();
+}
+
+int startBeforeAssignment(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    std::vector<JobId> jobs = submitMany(cell, 30, false, 2000);
+    cell.runUntil([&] { return cell.core(1).jobs.size() > 5; }, std::chrono::seconds(1));
+    cell.conduct(1).cutFromStore = true;
+    cell.runFor(std::chrono::seconds(30));
+    return doubledStarts(cell, jobs);
+}
+
+int retryWithoutAsking(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    std::vector<JobId> jobs = submitMany(cell, 30, false, 3000);
+    cell.runFor(std::chrono::seconds(1));
+    cell.conduct(1).alive = false;
+    cell.runFor(std::chrono::seconds(20));
+    return doubledStarts(cell, jobs);
+}
+
+int limitUnderDeaths(std::uint64_t seed)
+{
+    constexpr int kLimit = 20;
+    HandDrivenCell cell = makeCell(seed, kLimit, 27);
+    submitMany(cell, 90, false, 15000);
+    cell.runFor(std::chrono::seconds(2));
+    cell.conduct(1).alive = false;
+    cell.runFor(std::chrono::seconds(25));
+    return std::max(0, cell.mostRunning(kTeam) - kLimit);
+}
+
+int limitUnderHandOvers(std::uint64_t seed)
+{
+    constexpr int kLimit = 40;
+    HandDrivenCell cell = makeCell(seed, kLimit, 27);
+    submitMany(cell, 200, false, 4000);
+    cell.runFor(std::chrono::seconds(2));
+    cell.conduct(1).alive = false;
+    cell.runFor(std::chrono::seconds(8));
+    // Shards come back to the new instance one by one while their givers go on.
+    cell.restart(1);
+    cell.runFor(std::chrono::seconds(12));
+    return std::max(0, cell.mostRunning(kTeam) - kLimit);
+}
+
+int withdrawnKey(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    cell.call(0, kKey, makeLookup(10));
+    cell.runFor(std::chrono::seconds(1));
+    Configuration without = makeConfiguration(2, 1000);
+    without.teams[0].keys.clear();
+    cell.applyConfiguration(without);
+    cell.runFor(kFewSeconds);
+    CallId id = cell.call(0, kKey, makeLookup(10));
+    cell.runFor(std::chrono::seconds(3));
+    const CallerReply* reply = cell.reply(id);
+    return reply != nullptr && reply->outcome == CallOutcome::Unauthorized ? 0 : 1;
+}
+
+int domainOut(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    Configuration out = makeConfiguration(2, 1000);
+    out.domainsOut.push_back({ FailureDomainId("north"), "power works" });
+    cell.applyConfiguration(out);
+    TimePoint limit = cell.now().steady + kFewSeconds;
+    cell.runFor(kFewSeconds);
+    submitMany(cell, 60, true, 500);
+    cell.runFor(std::chrono::seconds(5));
+    return countAfter(cell.startsIn(FailureDomainId("north")), limit);
+}
+
+/// The cut-off instance is the only one that reaches its upstreams, so that no fence can stop it.
+int domainOutWhileCutOff(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    for (std::size_t n = 0; n < 9; ++n) {
+        cell.conduct(0).cutFromUpstreams.insert(n);
+        cell.conduct(1).cutFromUpstreams.insert(n);
+    }
+    cell.conduct(2).cutFromStore = true;
+    cell.conduct(2).cutFromPeers = true;
+    Configuration out = makeConfiguration(2, 1000);
+    out.domainsOut.push_back({ FailureDomainId("north"), "power works" });
+    cell.applyConfiguration(out);
+    TimePoint limit = cell.now().steady + kFewSeconds;
+    cell.runFor(kFewSeconds);
+    for (int n = 0; n < 40; ++n)
+        cell.call(2, kKey, makeLookup(200));
+    cell.runFor(std::chrono::seconds(3));
+    return countAfter(cell.startsIn(FailureDomainId("north")), limit);
+}
+
+int leavingUpstream(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    cell.showLeaving(4);
+    TimePoint limit = cell.now().steady + kFewSeconds;
+    cell.runFor(kFewSeconds);
+    submitMany(cell, 60, true, 500);
+    cell.runFor(std::chrono::seconds(5));
+    return countAfter(cell.startsOn(4), limit);
+}
+
+/// The owner keeps the job, but its answer can't reach the entry instance.
+int falseNotRun(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    std::vector<CallId> calls;
+    std::vector<JobId> jobs;
+    for (int n = 0; n < 30; ++n) {
+        JobSubmission job = makeJob("honest-" + std::to_string(n), false, 100);
+        calls.push_back(cell.call(0, kKey, job));
+        jobs.push_back(makeJobId(kTeam, job.idempotencyId));
+    }
+    cell.step();
+    cell.conduct(0).cutFromPeers = true;
+    cell.runFor(std::chrono::seconds(20));
+    cell.conduct(0).cutFromPeers = false;
+    cell.runFor(std::chrono::seconds(10));
+    int lies = 0;
+    for (std::size_t n = 0; n < calls.size(); ++n) {
+        const CallerReply* reply = cell.reply(calls[n]);
+        if (reply != nullptr && reply->outcome == CallOutcome::NotRun && cell.startsOf(jobs[n]) > 0)
+            ++lies;
+    }
+    return lies;
+}
+
+int cutByShutdown(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    std::vector<CallId> calls;
+    for (int n = 0; n < 20; ++n)
+        calls.push_back(cell.call(1, kKey, makeLookup(300)));
+    cell.runFor(std::chrono::milliseconds(100));
+    Actions actions;
+    handleEvent(cell.core(1), ShutdownRequested {}, cell.now(), actions);
+    cell.runFor(std::chrono::seconds(5));
+    return static_cast<int>(std::count_if(calls.begin(), calls.end(), [&](CallId id) {
+        const CallerReply* reply = cell.reply(id);
+        return reply == nullptr || reply->outcome != CallOutcome::Done;
+    }));
+}
+
+int revertedConfiguration(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    cell.applyConfiguration(makeConfiguration(3, 1000));
+    cell.runFor(std::chrono::seconds(1));
+    cell.applyConfiguration(makeConfiguration(2, 1000));
+    cell.runFor(std::chrono::seconds(1));
+    int reverted = 0;
+    for (std::size_t n = 0; n < 3; ++n)
+        reverted += cell.core(n).configuration.current->revision < 3 ? 1 : 0;
+    return reverted;
+}
+
+using Scenario = int (*)(std::uint64_t seed);
+
+int breaches(Scenario scenario)
+{
+    int sum = 0;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed)
+        sum += scenario(seed);
+    return sum;
+}
+
+void checkGuard(Guard guard, Scenario scenario)
+{
+    BOOST_TEST(breaches(scenario) == 0);
+    GuardOff off(guard);
+    BOOST_TEST(breaches(scenario) > 0);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GuardsTest)
+
+BOOST_AUTO_TEST_CASE(NoUpstreamIsOvercommitted) { checkGuard(Guard::RoomCheck, overcommit); }
+BOOST_AUTO_TEST_CASE(NothingStartsBeforeItsAssignmentIsDurable) { checkGuard(Guard::DurableAssignment, startBeforeAssignment); }
+BOOST_AUTO_TEST_CASE(ARecoveredAssignmentIsAskedAfter) { checkGuard(Guard::AskBeforeRetry, retryWithoutAsking); }
+BOOST_AUTO_TEST_CASE(TheLimitHoldsByGrants) { checkGuard(Guard::TeamRoom, limitUnderDeaths); }
+BOOST_AUTO_TEST_CASE(TheLimitHoldsWhenGrantsPassOnWithADeath) { checkGuard(Guard::MoveGrants, limitUnderDeaths); }
+BOOST_AUTO_TEST_CASE(TheLimitHoldsWhileShardsAreHandedOver) { checkGuard(Guard::HandOverCharge, limitUnderHandOvers); }
+BOOST_AUTO_TEST_CASE(AWithdrawnKeyStopsWorking) { checkGuard(Guard::KeyCheck, withdrawnKey); }
+BOOST_AUTO_TEST_CASE(NothingStartsInADomainThatIsOut) { checkGuard(Guard::DomainCheck, domainOut); }
+BOOST_AUTO_TEST_CASE(AnInstanceThatIsCutOffStopsByItself) { checkGuard(Guard::Validity, domainOutWhileCutOff); }
+BOOST_AUTO_TEST_CASE(ALeavingUpstreamGetsNoWork) { checkGuard(Guard::LeavingCheck, leavingUpstream); }
+BOOST_AUTO_TEST_CASE(NotRunIsTrue) { checkGuard(Guard::HonestRefusal, falseNotRun); }
+BOOST_AUTO_TEST_CASE(AStopCutsNothing) { checkGuard(Guard::ShutdownWait, cutByShutdown); }
+BOOST_AUTO_TEST_CASE(AConfigurationNeverReverts) { checkGuard(Guard::RevisionOrder, revertedConfiguration); }
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/HandDrivenCell.cpp
+++ b/tests/support/HandDrivenCell.cpp
@@ -21,7 +21,8 @@
     return row;
 }
 
-HandDrivenCell::HandDrivenCell(int cores, int upstreams, const Configuration& configuration)
+HandDrivenCell::HandDrivenCell(int cores, int upstreams, const Configuration& configuration, std::uint64_t seed)
+    : m_seed(seed)
 {
     m_now = { TimePoint(std::chrono::hours(1)), 1000000 };
     for (int n = 0; n < upstreams; ++n) {
@@ -40,7 +41,7 @@
     CoreSettings settings;
     settings.self = InstanceId("instance-" + std::to_string(n));
     settings.peerAddress = std::to_string(n);
-    settings.seed = 100 * (n + 1) + static_cast<std::uint64_t>(m_lives);
+    settings.seed = 1000 * m_seed + 100 * (n + 1) + static_cast<std::uint64_t>(m_lives);
     return settings;
 }
 
@@ -272,21 +273,30 @@
 
 // Upstreams.
 
-HandDrivenCell::Upstream* HandDrivenCell::findUpstream(const UpstreamId& id)
+HandDrivenCell::Upstream* HandDrivenCell::findUpstream(std::size_t core, const UpstreamId& id)
 {
+    for (std::size_t n : m_cores[core].conduct.cutFromUpstreams) {
+        if (m_upstreams[n].description.id == id)
+            return nullptr;
+    }
     auto it = std::find_if(m_upstreams.begin(), m_upstreams.end(), [&](const Upstream& upstream) { return upstream.description.id == id; });
     return it == m_upstreams.end() ? nullptr : &*it;
 }
 
 void HandDrivenCell::execute(std::size_t n, const UpstreamFence& command)
 {
-    Upstream* upstream = findUpstream(command.upstream);
-    m_cores[n].inbox.push_back(upstream->model.fence(command, m_now.steady));
+    Upstream* upstream = findUpstream(n, command.upstream);
+    UpstreamFenceResult lost { command.upstream, command.shard, command.epoch, UpstreamOutcome::Unreachable, {}, {} };
+    m_cores[n].inbox.push_back(upstream == nullptr ? lost : upstream->model.fence(command, m_now.steady));
 }
 
 void HandDrivenCell::execute(std::size_t n, const UpstreamStart& command)
 {
-    Upstream* upstream = findUpstream(command.upstream);
+    Upstream* upstream = findUpstream(n, command.upstream);
+    if (upstream == nullptr) {
+        m_cores[n].inbox.push_back(UpstreamStartResult { command.upstream, command.attempt, UpstreamOutcome::Unreachable, false, {}, {} });
+        return;
+    }
     UpstreamStartAnswer answer = upstream->model.start(command, m_now.steady);
     noteUpstreamEvents(*upstream);
     if (answer.outcome == UpstreamOutcome::Ok && command.waitForResult && answer.status.state == AttemptState::Running) {
@@ -299,13 +309,18 @@
 
 void HandDrivenCell::execute(std::size_t n, const UpstreamSync& command)
 {
-    Upstream* upstream = findUpstream(command.upstream);
-    m_cores[n].inbox.push_back(upstream->model.sync(command, m_now.steady));
+    Upstream* upstream = findUpstream(n, command.upstream);
+    UpstreamSyncResult lost { command.upstream, command.shard, command.epoch, UpstreamOutcome::Unreachable, {}, {} };
+    m_cores[n].inbox.push_back(upstream == nullptr ? lost : upstream->model.sync(command, m_now.steady));
 }
 
 void HandDrivenCell::execute(std::size_t n, const UpstreamStop& command)
 {
-    Upstream* upstream = findUpstream(command.upstream);
+    Upstream* upstream = findUpstream(n, command.upstream);
+    if (upstream == nullptr) {
+        m_cores[n].inbox.push_back(UpstreamStopResult { command.upstream, command.attempt, UpstreamOutcome::Unreachable, {} });
+        return;
+    }
     m_cores[n].inbox.push_back(upstream->model.stop(command, m_now.steady));
     noteUpstreamEvents(*upstream);
 }
@@ -314,8 +329,9 @@
 {
     for (const UpstreamModelEvent& event : upstream.model.takeEvents()) {
         const AttemptId& attempt = event.command.attempt;
+        m_overcommits += event.name == "overcommit" ? 1 : 0;
         if (event.name == "start") {
-            Start start { event.command, upstream.description.domain, m_now.steady };
+            Start start { event.command, upstream.description, m_now.steady };
             m_starts.push_back(start);
             m_running[attempt] = start;
             noteRunning();
@@ -371,12 +387,29 @@
 {
     std::vector<TimePoint> times;
     for (const Start& start : m_starts) {
-        if (start.domain == domain)
+        if (start.upstream.domain == domain)
+            times.push_back(start.at);
+    }
+    return times;
+}
+
+std::vector<TimePoint> HandDrivenCell::startsOn(std::size_t upstream) const
+{
+    std::vector<TimePoint> times;
+    for (const Start& start : m_starts) {
+        if (start.upstream.id == m_upstreams[upstream].description.id)
             times.push_back(start.at);
     }
     return times;
 }
 
+void HandDrivenCell::showLeaving(std::size_t upstream)
+{
+    m_upstreams[upstream].description.leaving = true;
+    for (Core& core : m_cores)
+        core.inbox.push_back(list());
+}
+
 void HandDrivenCell::execute(std::size_t n, const LogLine& line)
 {
     log.push_back(std::to_string(toMilliseconds(m_now.steady.time_since_epoch())) + " " + m_cores[n].state->settings.self.value() + " " + line.step + ": " + line.message + " " + line.peer + " " + line.job);
--- a/tests/support/HandDrivenCell.h
+++ b/tests/support/HandDrivenCell.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
     bool frozen { false }; ///< Runs nothing; what is sent to it waits.
     bool cutFromStore { false };
     bool cutFromPeers { false };
+    std::set<std::size_t> cutFromUpstreams; ///< By their numbers.
     int storeAnswersToLose { 0 }; ///< The change takes effect, its answer is lost.
 };
 
@@ -26,7 +28,8 @@
 /// the store and the upstreams: no socket, clock or thread. Time moves in steps.
 class HandDrivenCell {
 public:
-    HandDrivenCell(int cores, int upstreams, const Configuration&);
+    HandDrivenCell(HandDrivenCell&&) = default;
+    HandDrivenCell(int cores, int upstreams, const Configuration&, std::uint64_t seed = 1);
 
     /// One step of kStep for everything.
     void step();
@@ -38,6 +41,10 @@
     CallId call(std::size_t core, const std::string& key, std::variant<UrgentRequest, JobSubmission, JobQuery, JobCancellation>);
     const CallerReply* reply(CallId) const;
     void applyConfiguration(const Configuration&);
+    /// The platform's list shows the upstream as leaving, to every core at once.
+    void showLeaving(std::size_t upstream);
+    /// Starts that an upstream had no room for.
+    int overcommits() const { return m_overcommits; }
     /// A new process in the place of a dead one.
     void restart(std::size_t core);
 
@@ -55,6 +62,7 @@
     int overlaps() const { return m_overlaps; }
     /// Starts of any kind in a failure domain, by time.
     std::vector<TimePoint> startsIn(const FailureDomainId&) const;
+    std::vector<TimePoint> startsOn(std::size_t upstream) const;
     bool isSettled();
     std::vector<std::string> log;
 
@@ -73,7 +81,7 @@
     };
     struct Start {
         UpstreamStart command;
-        FailureDomainId domain;
+        UpstreamDescription upstream;
         TimePoint at;
     };
 
@@ -82,7 +90,8 @@
     void deliverWatch(Core&);
     void noteUpstreamEvents(Upstream&);
     void noteRunning();
-    Upstream* findUpstream(const UpstreamId&);
+    /// Null where the core is cut off from it.
+    Upstream* findUpstream(std::size_t core, const UpstreamId&);
     CoreSettings settingsOf(std::size_t n) const;
     UpstreamListUpdate list() const;
 
@@ -111,6 +120,8 @@
     std::vector<Start> m_starts;
     std::map<TeamId, int> m_mostRunning;
     int m_overlaps { 0 };
+    int m_overcommits { 0 };
+    std::uint64_t m_seed { 1 };
     CallId m_nextCall { 1 };
     int m_lives { 0 };
 };
