--- a/src/upstream/HttpPool.cpp
+++ b/src/upstream/HttpPool.cpp
@@ -144,7 +144,7 @@
     void readBody(const ConnectionPtr&, ErrorCondition);
     void handleRead(const ConnectionPtr&, ErrorCondition);
     bool isMatchingAnswer(const Connection&) const;
-    bool complete(const ExchangePtr&, HttpOutcome, const HttpAnswer&);
+    bool complete(const ExchangePtr&, HttpOutcome, const UpstreamHttpAnswer&);
     void fail(const ConnectionPtr&, HttpOutcome);
     void discard(const ConnectionPtr&, const std::string& address);
     void sweep();
@@ -328,7 +328,7 @@
         return;
     }
     http::response<http::string_body> message = connection->parser->release();
-    HttpAnswer answer { static_cast<int>(message.result_int()), std::string(message[kMetadataHeader]), std::move(message.body()) };
+    UpstreamHttpAnswer answer { static_cast<int>(message.result_int()), std::string(message[kMetadataHeader]), std::move(message.body()) };
     ExchangePtr exchange = std::move(connection->exchange);
     std::string address = exchange->call.address;
     bool isAccepted = complete(exchange, HttpOutcome::Answered, answer);
@@ -343,7 +343,7 @@
     serveWaiting(address);
 }
 
-bool HttpPool::Impl::complete(const ExchangePtr& exchange, HttpOutcome outcome, const HttpAnswer& answer)
+bool HttpPool::Impl::complete(const ExchangePtr& exchange, HttpOutcome outcome, const UpstreamHttpAnswer& answer)
 {
     if (m_stopped || exchange->phase == Phase::Done)
         return false;
--- a/src/upstream/HttpPool.h
+++ b/src/upstream/HttpPool.h
@@ -15,13 +15,13 @@
 /// JSON that goes with a body of raw bytes.
 constexpr const char* kMetadataHeader = "X-Crocuslever-Metadata";
 
-struct HttpRequest {
+struct UpstreamHttpRequest {
     std::string target;
     std::string metadata; ///< ASCII without line ends; may be empty.
     std::string body;
 };
 
-struct HttpAnswer {
+struct UpstreamHttpAnswer {
     int status { 0 };
     std::string metadata;
     std::string body;
@@ -34,11 +34,11 @@
 };
 
 /// Gets the answer; false closes the connection that it came on.
-using HttpCompletion = std::function<bool(HttpOutcome, const HttpAnswer&)>;
+using HttpCompletion = std::function<bool(HttpOutcome, const UpstreamHttpAnswer&)>;
 
 struct HttpExchange {
     std::string address; ///< "IP:port"
-    HttpRequest request;
+    UpstreamHttpRequest request;
     Duration timeout { 0 }; ///< Waiting for a connection included.
     std::int64_t maximumBytes { 0 }; ///< Of the answer's body.
     HttpCompletion completion; ///< Called once, never from within send().
--- a/src/upstream/UpstreamClient.cpp
+++ b/src/upstream/UpstreamClient.cpp
@@ -50,12 +50,12 @@
     {
         ++calls;
         HttpExchange exchange { command.address, encodeRequest(command), timeout, maximumBytes, {} };
-        exchange.completion = [this, command](HttpOutcome outcome, const HttpAnswer& answer) { return report(command, outcome, answer); };
+        exchange.completion = [this, command](HttpOutcome outcome, const UpstreamHttpAnswer& answer) { return report(command, outcome, answer); };
         pool.send(std::move(exchange));
     }
 
     template <typename Command>
-    bool report(const Command& command, HttpOutcome outcome, const HttpAnswer& answer)
+    bool report(const Command& command, HttpOutcome outcome, const UpstreamHttpAnswer& answer)
     {
         if (outcome != HttpOutcome::Answered) {
             sink(failedResult(command, outcome == HttpOutcome::NotSent ? UpstreamOutcome::Unreachable : UpstreamOutcome::Unknown));
--- a/src/upstream/UpstreamCodec.cpp
+++ b/src/upstream/UpstreamCodec.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "src/codec/Base64.h"
 #include "src/upstream/Encoding.h"
 
 namespace crocuslever {
@@ -37,14 +38,14 @@
     return { { "upstream", command.upstream.value() }, { "shard", command.shard }, { "epoch", command.epoch } };
 }
 
-HttpRequest encodeRequest(const UpstreamFence& command)
+UpstreamHttpRequest encodeRequest(const UpstreamFence& command)
 {
     Json json = commonFields(command);
     json["owner"] = command.owner.value();
     return { "/v1/fence", "", dump(json) };
 }
 
-HttpRequest encodeRequest(const UpstreamStart& command)
+UpstreamHttpRequest encodeRequest(const UpstreamStart& command)
 {
     Json json = commonFields(command);
     json["incarnation"] = command.incarnation.value();
@@ -63,7 +64,7 @@
     return { "/v1/attempts", dump(json), command.spec.body };
 }
 
-HttpRequest encodeRequest(const UpstreamSync& command)
+UpstreamHttpRequest encodeRequest(const UpstreamSync& command)
 {
     Json json = commonFields(command);
     json["incarnation"] = command.incarnation.value();
@@ -73,7 +74,7 @@
     return { "/v1/sync", "", dump(json) };
 }
 
-HttpRequest encodeRequest(const UpstreamStop& command)
+UpstreamHttpRequest encodeRequest(const UpstreamStop& command)
 {
     Json json = commonFields(command);
     json["incarnation"] = command.incarnation.value();
@@ -199,7 +200,7 @@
 }
 
 template <typename Answer, typename Command>
-static Result<Answer> decodeList(const Command& command, const HttpAnswer& answer, const char* step)
+static Result<Answer> decodeList(const Command& command, const UpstreamHttpAnswer& answer, const char* step)
 {
     Result<Json> json = parseAnswer(command, answer.body, step);
     if (!json)
@@ -218,12 +219,12 @@
     return result;
 }
 
-Result<UpstreamFenceResult> decodeAnswer(const UpstreamFence& command, const HttpAnswer& answer)
+Result<UpstreamFenceResult> decodeAnswer(const UpstreamFence& command, const UpstreamHttpAnswer& answer)
 {
     return decodeList<UpstreamFenceResult>(command, answer, "upstream.fence");
 }
 
-Result<UpstreamSyncResult> decodeAnswer(const UpstreamSync& command, const HttpAnswer& answer)
+Result<UpstreamSyncResult> decodeAnswer(const UpstreamSync& command, const UpstreamHttpAnswer& answer)
 {
     return decodeList<UpstreamSyncResult>(command, answer, "upstream.sync");
 }
@@ -238,7 +239,7 @@
     return state == AttemptState::NeverStarted ? UpstreamOutcome::Refused : UpstreamOutcome::Unknown;
 }
 
-Result<UpstreamStartResult> decodeAnswer(const UpstreamStart& command, const HttpAnswer& answer)
+Result<UpstreamStartResult> decodeAnswer(const UpstreamStart& command, const UpstreamHttpAnswer& answer)
 {
     constexpr const char* kStep = "upstream.start";
     Result<Json> json = parseAnswer(command, answer.metadata, kStep);
@@ -262,7 +263,7 @@
     return result;
 }
 
-Result<UpstreamStopResult> decodeAnswer(const UpstreamStop& command, const HttpAnswer& answer)
+Result<UpstreamStopResult> decodeAnswer(const UpstreamStop& command, const UpstreamHttpAnswer& answer)
 {
     constexpr const char* kStep = "upstream.stop";
     Result<Json> json = parseAnswer(command, answer.body, kStep);
--- a/src/upstream/UpstreamCodec.h
+++ b/src/upstream/UpstreamCodec.h
@@ -8,16 +8,16 @@
 
 // The upstream protocol of docs/UPSTREAM-PROTOCOL.md, on the side that calls.
 
-HttpRequest encodeRequest(const UpstreamFence&);
-HttpRequest encodeRequest(const UpstreamStart&);
-HttpRequest encodeRequest(const UpstreamSync&);
-HttpRequest encodeRequest(const UpstreamStop&);
+UpstreamHttpRequest encodeRequest(const UpstreamFence&);
+UpstreamHttpRequest encodeRequest(const UpstreamStart&);
+UpstreamHttpRequest encodeRequest(const UpstreamSync&);
+UpstreamHttpRequest encodeRequest(const UpstreamStop&);
 
 // An error: the answer is malformed, damaged, or belongs to something else.
 
-Result<UpstreamFenceResult> decodeAnswer(const UpstreamFence&, const HttpAnswer&);
-Result<UpstreamStartResult> decodeAnswer(const UpstreamStart&, const HttpAnswer&);
-Result<UpstreamSyncResult> decodeAnswer(const UpstreamSync&, const HttpAnswer&);
-Result<UpstreamStopResult> decodeAnswer(const UpstreamStop&, const HttpAnswer&);
+Result<UpstreamFenceResult> decodeAnswer(const UpstreamFence&, const UpstreamHttpAnswer&);
+Result<UpstreamStartResult> decodeAnswer(const UpstreamStart&, const UpstreamHttpAnswer&);
+Result<UpstreamSyncResult> decodeAnswer(const UpstreamSync&, const UpstreamHttpAnswer&);
+Result<UpstreamStopResult> decodeAnswer(const UpstreamStop&, const UpstreamHttpAnswer&);
 
 } // namespace crocuslever
--- a/tests/UpstreamClientTest.cpp
+++ b/tests/UpstreamClientTest.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 
+#include "src/codec/Base64.h"
 #include "src/upstream/Encoding.h"
 #include "src/upstream/HttpPool.h"
 #include "tests/support/UpstreamServer.h"
@@ -299,13 +300,13 @@
     return head.substr(start, head.find('\r', start) - start);
 }
 
-static std::string format(const HttpAnswer& answer, const std::string& call)
+static std::string format(const UpstreamHttpAnswer& answer, const std::string& call)
 {
     return "HTTP/1.1 200 OK\r\n" + std::string(kCallHeader) + ": " + call + "\r\n" + kMetadataHeader + ": " + answer.metadata
         + "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
 }
 
-static HttpAnswer endedAnswer(const std::string& attempt, const std::string& body)
+static UpstreamHttpAnswer endedAnswer(const std::string& attempt, const std::string& body)
 {
     UpstreamStartAnswer answer;
     answer.outcome = UpstreamOutcome::Ok;
@@ -342,7 +343,7 @@
 {
     Fixture f;
     ScriptedServer server(f.context, [](const std::string& head) {
-        HttpAnswer answer = endedAnswer("a", "x");
+        UpstreamHttpAnswer answer = endedAnswer("a", "x");
         return "HTTP/1.1 200 OK\r\n" + std::string(kCallHeader) + ": " + callOf(head) + "\r\n" + kMetadataHeader + ": " + answer.metadata + "\r\n\r\nx";
     });
     server.setClosing(true);
@@ -434,7 +435,7 @@
 {
     Fixture f;
     ScriptedServer server(f.context, [](const std::string& head) {
-        HttpAnswer answer = endedAnswer("a", "right");
+        UpstreamHttpAnswer answer = endedAnswer("a", "right");
         answer.body = "wrong";
         return format(answer, callOf(head));
     });
@@ -468,7 +469,7 @@
         AttemptStatus bad = good;
         bad.result.body = "bad!";
         result.attempts = { good, bad };
-        HttpAnswer answer = encodeAnswer(result);
+        UpstreamHttpAnswer answer = encodeAnswer(result);
         answer.body.replace(answer.body.find(encodeBase64("bad!")), 8, encodeBase64("dab!"));
         return format(answer, callOf(head));
     });
--- a/tests/support/UpstreamServer.cpp
+++ b/tests/support/UpstreamServer.cpp
@@ -70,13 +70,13 @@
     void open(Tcp::socket);
     void read(const SessionPtr&);
     void handleRequest(const SessionPtr&, const http::request<http::string_body>&);
-    HttpAnswer handleFence(const HttpRequest&);
-    HttpAnswer handleSync(const HttpRequest&);
-    HttpAnswer handleStop(const HttpRequest&);
-    HttpAnswer handleBehaviour(const HttpRequest&);
-    void handleStart(const SessionPtr&, const HttpRequest&);
+    UpstreamHttpAnswer handleFence(const UpstreamHttpRequest&);
+    UpstreamHttpAnswer handleSync(const UpstreamHttpRequest&);
+    UpstreamHttpAnswer handleStop(const UpstreamHttpRequest&);
+    UpstreamHttpAnswer handleBehaviour(const UpstreamHttpRequest&);
+    void handleStart(const SessionPtr&, const UpstreamHttpRequest&);
     bool isForThis(const UpstreamId& id) const { return id == m_model.settings().id; }
-    void write(const SessionPtr&, const HttpAnswer&);
+    void write(const SessionPtr&, const UpstreamHttpAnswer&);
     void close(const SessionPtr&);
     void settle();
     void watchWaiter(const SessionPtr&);
@@ -148,7 +148,7 @@
 
 void UpstreamServer::Impl::handleRequest(const SessionPtr& session, const http::request<http::string_body>& message)
 {
-    HttpRequest request { std::string(message.target()), std::string(message[kMetadataHeader]), message.body() };
+    UpstreamHttpRequest request { std::string(message.target()), std::string(message[kMetadataHeader]), message.body() };
     session->call = std::string(message[kCallHeader]);
     if (message.method() == http::verb::put && request.target == "/fake/behaviour")
         write(session, handleBehaviour(request));
@@ -167,7 +167,7 @@
     settle();
 }
 
-HttpAnswer UpstreamServer::Impl::handleFence(const HttpRequest& request)
+UpstreamHttpAnswer UpstreamServer::Impl::handleFence(const UpstreamHttpRequest& request)
 {
     UpstreamFence command;
     if (!decodeCommand(request, command))
@@ -177,7 +177,7 @@
     return encodeAnswer(m_model.fence(command, readClock().steady));
 }
 
-HttpAnswer UpstreamServer::Impl::handleSync(const HttpRequest& request)
+UpstreamHttpAnswer UpstreamServer::Impl::handleSync(const UpstreamHttpRequest& request)
 {
     UpstreamSync command;
     if (!decodeCommand(request, command))
@@ -187,7 +187,7 @@
     return encodeAnswer(m_model.sync(command, readClock().steady));
 }
 
-HttpAnswer UpstreamServer::Impl::handleStop(const HttpRequest& request)
+UpstreamHttpAnswer UpstreamServer::Impl::handleStop(const UpstreamHttpRequest& request)
 {
     UpstreamStop command;
     if (!decodeCommand(request, command))
@@ -199,7 +199,7 @@
     return encodeAnswer(result, m_model.settings());
 }
 
-void UpstreamServer::Impl::handleStart(const SessionPtr& session, const HttpRequest& request)
+void UpstreamServer::Impl::handleStart(const SessionPtr& session, const UpstreamHttpRequest& request)
 {
     UpstreamStart command;
     if (!decodeCommand(request, command)) {
@@ -231,7 +231,7 @@
     });
 }
 
-HttpAnswer UpstreamServer::Impl::handleBehaviour(const HttpRequest& request)
+UpstreamHttpAnswer UpstreamServer::Impl::handleBehaviour(const UpstreamHttpRequest& request)
 {
     Json json = Json::parse(request.body, nullptr, false);
     if (!json.is_object())
@@ -243,7 +243,7 @@
     return { 200, "", "" };
 }
 
-void UpstreamServer::Impl::write(const SessionPtr& session, const HttpAnswer& answer)
+void UpstreamServer::Impl::write(const SessionPtr& session, const UpstreamHttpAnswer& answer)
 {
     // What the answer tells of must be in the log before anybody can act on it.
     for (const UpstreamModelEvent& event : m_model.takeEvents())
--- a/tests/support/UpstreamWire.cpp
+++ b/tests/support/UpstreamWire.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/UpstreamWire.h"
 
+#include "src/codec/Base64.h"
 #include "src/upstream/Encoding.h"
 
 namespace crocuslever::testing {
@@ -97,9 +98,9 @@
     }
 }
 
-bool decodeCommand(const HttpRequest& request, UpstreamFence& command) { return parse(request.body, command); }
+bool decodeCommand(const UpstreamHttpRequest& request, UpstreamFence& command) { return parse(request.body, command); }
 
-bool decodeCommand(const HttpRequest& request, UpstreamStart& command)
+bool decodeCommand(const UpstreamHttpRequest& request, UpstreamStart& command)
 {
     if (!parse(request.metadata, command))
         return false;
@@ -108,9 +109,9 @@
     return json.value("length", std::size_t(0)) == request.body.size() && json.value("sha256", "") == sha256Hex(request.body);
 }
 
-bool decodeCommand(const HttpRequest& request, UpstreamSync& command) { return parse(request.body, command); }
+bool decodeCommand(const UpstreamHttpRequest& request, UpstreamSync& command) { return parse(request.body, command); }
 
-bool decodeCommand(const HttpRequest& request, UpstreamStop& command) { return parse(request.body, command); }
+bool decodeCommand(const UpstreamHttpRequest& request, UpstreamStop& command) { return parse(request.body, command); }
 
 static std::string dump(const Json& json) { return json.dump(-1, ' ', true, Json::error_handler_t::replace); }
 
@@ -134,7 +135,7 @@
 }
 
 template <typename ListResult>
-static HttpAnswer encodeList(const ListResult& result)
+static UpstreamHttpAnswer encodeList(const ListResult& result)
 {
     Json json { { "outcome", toString(result.outcome) }, { "upstream", result.upstream.value() },
         { "incarnation", result.incarnation.value() }, { "attempts", Json::array() } };
@@ -143,11 +144,11 @@
     return { httpStatus(result.outcome), "", dump(json) };
 }
 
-HttpAnswer encodeAnswer(const UpstreamFenceResult& result) { return encodeList(result); }
+UpstreamHttpAnswer encodeAnswer(const UpstreamFenceResult& result) { return encodeList(result); }
 
-HttpAnswer encodeAnswer(const UpstreamSyncResult& result) { return encodeList(result); }
+UpstreamHttpAnswer encodeAnswer(const UpstreamSyncResult& result) { return encodeList(result); }
 
-HttpAnswer encodeAnswer(const UpstreamStartAnswer& answer, const UpstreamModelSettings& settings)
+UpstreamHttpAnswer encodeAnswer(const UpstreamStartAnswer& answer, const UpstreamModelSettings& settings)
 {
     Json json { { "outcome", toString(answer.outcome) }, { "upstream", settings.id.value() },
         { "incarnation", settings.incarnation.value() }, { "attempt", answer.status.attempt.value() },
@@ -158,7 +159,7 @@
     return { httpStatus(answer.outcome), dump(json), answer.status.result.body };
 }
 
-HttpAnswer encodeAnswer(const UpstreamStopResult& result, const UpstreamModelSettings& settings)
+UpstreamHttpAnswer encodeAnswer(const UpstreamStopResult& result, const UpstreamModelSettings& settings)
 {
     Json json { { "outcome", toString(result.outcome) }, { "upstream", settings.id.value() },
         { "incarnation", settings.incarnation.value() }, { "status", describeStatus(result.status) } };
--- a/tests/support/UpstreamWire.h
+++ b/tests/support/UpstreamWire.h
@@ -12,15 +12,15 @@
 /// apart from the client's side so that neither hides the other's faults.
 
 /// False if the request is malformed, or its body isn't the one it describes.
-bool decodeCommand(const HttpRequest&, UpstreamFence&);
-bool decodeCommand(const HttpRequest&, UpstreamStart&);
-bool decodeCommand(const HttpRequest&, UpstreamSync&);
-bool decodeCommand(const HttpRequest&, UpstreamStop&);
-
-HttpAnswer encodeAnswer(const UpstreamFenceResult&);
-HttpAnswer encodeAnswer(const UpstreamStartAnswer&, const UpstreamModelSettings&);
-HttpAnswer encodeAnswer(const UpstreamSyncResult&);
-HttpAnswer encodeAnswer(const UpstreamStopResult&, const UpstreamModelSettings&);
+bool decodeCommand(const UpstreamHttpRequest&, UpstreamFence&);
+bool decodeCommand(const UpstreamHttpRequest&, UpstreamStart&);
+bool decodeCommand(const UpstreamHttpRequest&, UpstreamSync&);
+bool decodeCommand(const UpstreamHttpRequest&, UpstreamStop&);
+
+UpstreamHttpAnswer encodeAnswer(const UpstreamFenceResult&);
+UpstreamHttpAnswer encodeAnswer(const UpstreamStartAnswer&, const UpstreamModelSettings&);
+UpstreamHttpAnswer encodeAnswer(const UpstreamSyncResult&);
+UpstreamHttpAnswer encodeAnswer(const UpstreamStopResult&, const UpstreamModelSettings&);
 
 nlohmann::json describeResources(const Resources&);
 
