--- /dev/null
+++ b/tests/support/FaultProxy.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "tests/support/FaultLink.h"
+#include "tests/support/HttpFake.h"
+
+namespace crocuslever::testing {
+
+/// Several links and an HTTP port that controls them: PUT /link/<listen port>
+/// with {"mode":"pass|cut|freeze|reset|drop-answers","delay_ms":0}, GET /stats.
+class FaultProxy {
+public:
+    FaultProxy(boost::asio::io_context&, const std::string& address, unsigned short controlPort);
+
+    std::string controlEndpoint() const { return m_control.endpoint(); }
+    /// Returns the listen port.
+    unsigned short addLink(unsigned short listenPort, unsigned short targetPort);
+    /// Null if there is none.
+    FaultLink* findLink(unsigned short listenPort);
+
+private:
+    void setLink(const ExchangePtr&);
+    void showStats(const ExchangePtr&);
+
+    boost::asio::io_context& m_io;
+    std::string m_address;
+    HttpFake m_control;
+    std::map<unsigned short, std::unique_ptr<FaultLink>> m_links;
+};
+
+} // namespace crocuslever::testing
