--- a/src/callers/CallerRequests.cpp
+++ b/src/callers/CallerRequests.cpp
@@ -5,11 +5,11 @@
 #include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 #include <optional>
 #include <set>
 
 #include "src/callers/CallerAnswers.h"
+#include "src/codec/Base64.h"
 
 namespace crocuslever {
 
@@ -257,30 +257,6 @@
     return WorkKind::Batch;
 }
 
-static bool isBase64(const std::string& text)
-{
-    // Stricter than the library, which passes over spaces and takes "=" anywhere.
-    static const std::string kAlphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    constexpr std::size_t kMaximumPadding = 2;
-    std::size_t end = text.find_first_not_of(kAlphabet);
-    if (end == std::string::npos)
-        return text.size() % 4 == 0;
-    return text.size() % 4 == 0 && text.size() - end <= kMaximumPadding && text.find_first_not_of('=', end) == std::string::npos;
-}
-
-static std::optional<std::string> decodeBase64(const std::string& text)
-{
-    if (!isBase64(text))
-        return std::nullopt;
-    std::string bytes(text.size() / 4 * 3, '\0');
-    int n = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-    if (n < 0)
-        return std::nullopt;
-    std::size_t padding = text.empty() ? 0 : std::count(text.end() - 2, text.end(), '=');
-    bytes.resize(n - padding);
-    return bytes;
-}
-
 static std::string readBody(Fields& fields)
 {
     if (!fields.has("body_base64"))
