Ask after young attempts at times that double with their age

Cause: an end was seen only by the sync of the next whole second, so that a slot stood idle for most of a second after each short task, and callers waited. Ruled out: a sync that the upstream holds open until something ends (no lag, no calls more), since acknowledgements and renewals would wait behind it and a dead upstream would be noticed later; a shorter fixed interval, which costs the idle and the long-running the same calls. Change: a running attempt is first asked after 50 ms, then at its age again, up to the sync interval. Also, a fenced upstream takes work while its shard still settles, and only adopted attempts' grants are moved: one upstream out of reach would otherwise hold up its neighbours for longer than the longest lease.

--- a/src/core/UpstreamAnswers.cpp
+++ b/src/core/UpstreamAnswers.cpp
@@ -60,6 +60,7 @@
     attempt.incarnation = row.incarnation;
     attempt.shard = row.shard;
     attempt.epoch = row.fencedEpoch;
+    attempt.adopted = true;
     return attempt;
 }
 
@@ -272,6 +273,7 @@
     attempt.phaseSince = now;
     attempt.leaseUntil = now + state.configuration.current->defaults.attemptLease;
     wakeAttempt(state, attempt, attempt.leaseUntil + kLeaseMargin);
+    hastenUpstream(state, state.upstreams.at(attempt.upstream), now + kFirstSyncAfter);
     reportAttempt(state, attempt, AttemptState::Running, now, actions);
 }
 
--- a/src/core/Upstreams.cpp
+++ b/src/core/Upstreams.cpp
@@ -138,11 +138,18 @@
     return isFenced(state, row) && isHeld(state, row.shard) && mayActOn(state, row.shard, now);
 }
 
+/// A fenced upstream takes work while the shard's others still wait for their
+/// fence: one that is out of reach must not hold up its neighbours.
+static bool takesWork(ShardPhase phase)
+{
+    return phase == ShardPhase::Owned || phase == ShardPhase::Settling;
+}
+
 bool isInService(const CoreState& state, const UpstreamRow& row, TimePoint now)
 {
     if (!row.listed || !row.reachable || (row.description.leaving && isOn(Guard::LeavingCheck)))
         return false;
-    if (state.shards[row.shard].phase != ShardPhase::Owned || !mayCall(state, row, now))
+    if (!takesWork(state.shards[row.shard].phase) || !mayCall(state, row, now))
         return false;
     return !state.configuration.current->isDomainOut(row.description.domain) || !isOn(Guard::DomainCheck);
 }
@@ -184,11 +191,24 @@
     return running;
 }
 
+std::map<TeamId, int> adoptedByTeam(const CoreState& state, ShardIndex shard)
+{
+    std::map<TeamId, int> adopted;
+    for (const UpstreamId& upstream : state.upstreams.byShard[shard]) {
+        for (const AttemptId& id : attemptsOn(state, upstream)) {
+            const AttemptRow& row = state.attempts.at(id);
+            if (row.holdsRoom && row.adopted)
+                ++adopted[row.team];
+        }
+    }
+    return adopted;
+}
+
 Resources freeRoom(const CoreState& state, bool urgent, TimePoint now)
 {
     Resources sum { 0, 0, 0, 0 };
     for (ShardIndex shard = 0; shard < kShardCount; ++shard) {
-        if (state.shards[shard].phase != ShardPhase::Owned)
+        if (!takesWork(state.shards[shard].phase))
             continue;
         for (const UpstreamId& id : state.upstreams.byShard[shard]) {
             const UpstreamRow& row = state.upstreams.at(id);
@@ -233,15 +253,26 @@
     return withJitter(state, kFirst * (1 << std::clamp(failures, 0, kMaximumDoublings)));
 }
 
+/// A young attempt may end soon, so it is asked after at times that double with
+/// its age: the end is seen late by no more than the run took, and a long run
+/// costs a handful of calls more.
+static Duration syncIntervalOf(const AttemptRow& attempt, TimePoint now)
+{
+    if (attempt.startInDoubt)
+        return kDoubtPause;
+    if (attempt.phase != AttemptPhase::Running)
+        return Duration::max();
+    return std::max(kFirstSyncAfter, std::chrono::duration_cast<Duration>(now - attempt.phaseSince));
+}
+
 TimePoint nextSyncTime(CoreState& state, const UpstreamRow& row, TimePoint now)
 {
     std::vector<AttemptId> ids = attemptsOn(state, row.description.id);
-    for (const AttemptId& id : ids) {
-        if (state.attempts.at(id).startInDoubt)
-            return now + kDoubtPause;
-    }
+    Duration interval = state.settings.syncInterval;
+    for (const AttemptId& id : ids)
+        interval = std::min(interval, syncIntervalOf(state.attempts.at(id), now));
     if (!ids.empty() || !row.toAcknowledge.empty())
-        return now + state.settings.syncInterval;
+        return now + interval;
     return now + withJitter(state, state.settings.idleSyncInterval);
 }
 
--- a/src/core/Upstreams.h
+++ b/src/core/Upstreams.h
@@ -12,6 +12,9 @@
 /// rates, and a renewal still under way when its sender gave up.
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(300);
 
+/// An attempt that was started is first asked after then.
+constexpr Duration kFirstSyncAfter = std::chrono::milliseconds(50);
+
 /// Adopts the platform's lagging list.
 void handleUpstreamList(CoreState&, const UpstreamListUpdate&, TimePoint now, Actions&);
 /// Fences the upstreams of newly owned shards; syncs those with attempts.
@@ -28,6 +31,8 @@
 bool isShardFenced(const CoreState&, ShardIndex, TimePoint now);
 /// Attempts that run on the shard's upstreams, by team.
 std::map<TeamId, int> runningByTeam(const CoreState&, ShardIndex);
+/// The same, but only those that an earlier owner had started.
+std::map<TeamId, int> adoptedByTeam(const CoreState&, ShardIndex);
 
 /// True if new work may start there now: owned, fenced, listed, not leaving, in
 /// good health, and its failure domain in service.
