--- a/include/crocuslever/UpstreamTable.h
+++ b/include/crocuslever/UpstreamTable.h
@@ -79,6 +79,8 @@
 struct RackUsage {
     std::int64_t reserved { 0 };
     std::int64_t slots { 0 };
+    std::int64_t usedFraction { 0 }; ///< In millionths; its key in `racksByUse`.
+    std::set<std::pair<std::int64_t, UpstreamId>> byDeferredSlots;
 };
 
 /// Upstreams by id, with the indexes kept by UpstreamIndex.h.
@@ -92,6 +94,7 @@
     std::set<std::pair<std::int64_t, UpstreamId>> byDeferredSlots; ///< Fenced ones.
     std::set<UpstreamId> quarantined;
     std::map<std::pair<FailureDomainId, RackId>, RackUsage> racks;
+    std::map<FailureDomainId, std::set<std::pair<std::int64_t, RackId>>> racksByUse;
     std::map<Resources, int> capacities; ///< How many listed upstreams have each.
     std::uint64_t seenRevision { 0 }; ///< Configuration that the indexes follow.
     TimePoint lastSuccess; ///< Of any task on an own upstream.
--- a/src/core/Placement.cpp
+++ b/src/core/Placement.cpp
@@ -56,41 +56,55 @@
     return std::nullopt;
 }
 
-namespace {
+/// The emptiest suitable upstream of the rack.
+static std::optional<UpstreamId> findInRack(const CoreState& state, const RackUsage& rack, const PlacementRequest& request, TimePoint now)
+{
+    const auto& order = rack.byDeferredSlots;
+    for (auto it = order.rbegin(); it != order.rend() && it->first >= request.resources.slots; ++it) {
+        if (isSuitable(state, state.upstreams.at(it->second), request, now))
+            return it->second;
+    }
+    return std::nullopt;
+}
 
-/// The lower, the better for work that is spread.
-struct SpreadRank {
-    bool avoidedDomain { false };
-    double rackUsed { 0 };
-    std::int64_t slotsTaken { 0 };
+namespace {
 
-    auto tie() const { return std::tie(avoidedDomain, rackUsed, slotsTaken); }
+/// The best place of one failure domain.
+struct SpreadChoice {
+    UpstreamId upstream;
+    std::int64_t rackUsed { 0 }; ///< In millionths.
 };
 
 } // namespace
 
-static double rackUsed(const CoreState& state, const UpstreamRow& row)
+static std::optional<SpreadChoice> findInDomain(const CoreState& state, const FailureDomainId& domain, const PlacementRequest& request, TimePoint now)
 {
-    auto it = state.upstreams.racks.find({ row.description.domain, row.description.rack });
-    if (it == state.upstreams.racks.end() || it->second.slots == 0)
-        return 0;
-    return static_cast<double>(it->second.reserved) / static_cast<double>(it->second.slots);
+    for (const auto& [used, rack] : state.upstreams.racksByUse.at(domain)) {
+        std::optional<UpstreamId> found = findInRack(state, state.upstreams.racks.at({ domain, rack }), request, now);
+        if (found)
+            return SpreadChoice { *found, used };
+    }
+    return std::nullopt;
 }
 
-static std::optional<UpstreamId> findSpread(const CoreState& state, const PlacementRequest& request, TimePoint now)
+/// The least used rack of the domains that are to be avoided, or of the others.
+static std::optional<UpstreamId> findSpread(const CoreState& state, const PlacementRequest& request, bool inAvoided, TimePoint now)
 {
-    const auto& order = state.upstreams.byDeferredSlots;
-    std::optional<UpstreamId> best;
-    SpreadRank bestRank;
-    for (auto it = order.lower_bound({ request.resources.slots, UpstreamId() }); it != order.end(); ++it) {
-        const UpstreamRow& row = state.upstreams.at(it->second);
-        SpreadRank rank { contains(request.avoidDomains, row.description.domain), rackUsed(state, row), row.reserved.slots };
-        if ((best && !(rank < bestRank)) || !isSuitable(state, row, request, now))
+    std::optional<SpreadChoice> best;
+    for (const auto& [domain, racks] : state.upstreams.racksByUse) {
+        if (contains(request.avoidDomains, domain) != inAvoided)
             continue;
-        best = it->second;
-        bestRank = rank;
+        std::optional<SpreadChoice> choice = findInDomain(state, domain, request, now);
+        if (choice && (!best || choice->rackUsed < best->rackUsed))
+            best = choice;
     }
-    return best;
+    return best ? std::optional<UpstreamId>(best->upstream) : std::nullopt;
+}
+
+static std::optional<UpstreamId> findSpread(const CoreState& state, const PlacementRequest& request, TimePoint now)
+{
+    std::optional<UpstreamId> preferred = findSpread(state, request, false, now);
+    return preferred ? preferred : findSpread(state, request, true, now);
 }
 
 static std::optional<UpstreamId> findProbeTarget(const CoreState& state, const PlacementRequest& request, TimePoint now)
--- a/src/core/UpstreamIndex.cpp
+++ b/src/core/UpstreamIndex.cpp
@@ -11,9 +11,32 @@
     return (slots * policy.urgentHeadroomPercent + kWholePercent - 1) / kWholePercent;
 }
 
-static RackUsage& rackOf(CoreState& state, const UpstreamRow& row)
+static std::int64_t inMillionths(std::int64_t part, std::int64_t whole)
 {
-    return state.upstreams.racks[{ row.description.domain, row.description.rack }];
+    constexpr std::int64_t kMillionths = 1000000;
+    return whole > 0 ? part * kMillionths / whole : 0;
+}
+
+/// Adds the row to its rack's usage (+1) or takes it out (-1).
+static void countInRack(CoreState& state, const UpstreamRow& row, int n)
+{
+    const UpstreamDescription& description = row.description;
+    std::set<std::pair<std::int64_t, RackId>>& order = state.upstreams.racksByUse[description.domain];
+    RackUsage& rack = state.upstreams.racks[{ description.domain, description.rack }];
+    order.erase({ rack.usedFraction, description.rack });
+    rack.reserved += n * row.indexedReserved;
+    rack.slots += n * row.indexedSlots;
+    rack.usedFraction = inMillionths(rack.reserved, rack.slots);
+    if (n > 0)
+        rack.byDeferredSlots.emplace(row.deferredSlots, description.id);
+    else
+        rack.byDeferredSlots.erase({ row.deferredSlots, description.id });
+    if (rack.byDeferredSlots.empty())
+        state.upstreams.racks.erase({ description.domain, description.rack });
+    else
+        order.emplace(rack.usedFraction, description.rack);
+    if (order.empty())
+        state.upstreams.racksByUse.erase(description.domain);
 }
 
 static void leaveIndexes(CoreState& state, UpstreamRow& row)
@@ -22,28 +45,21 @@
         return;
     state.upstreams.byFreeFraction.erase({ row.freeFraction, row.description.id });
     state.upstreams.byDeferredSlots.erase({ row.deferredSlots, row.description.id });
-    RackUsage& rack = rackOf(state, row);
-    rack.reserved -= row.indexedReserved;
-    rack.slots -= row.indexedSlots;
-    if (rack.slots == 0)
-        state.upstreams.racks.erase({ row.description.domain, row.description.rack });
+    countInRack(state, row, -1);
     row.indexed = false;
 }
 
 static void enterIndexes(CoreState& state, UpstreamRow& row)
 {
-    constexpr std::int64_t kMillionths = 1000000;
     std::int64_t slots = row.description.capacity.slots;
     std::int64_t n = slots - row.reserved.slots;
-    row.freeFraction = slots > 0 ? n * kMillionths / slots : 0;
+    row.freeFraction = inMillionths(n, slots);
     row.deferredSlots = n - urgentHeadroom(state.configuration.current->defaults, slots);
     row.indexedReserved = row.reserved.slots;
     row.indexedSlots = slots;
     state.upstreams.byFreeFraction.emplace(row.freeFraction, row.description.id);
     state.upstreams.byDeferredSlots.emplace(row.deferredSlots, row.description.id);
-    RackUsage& rack = rackOf(state, row);
-    rack.reserved += row.indexedReserved;
-    rack.slots += row.indexedSlots;
+    countInRack(state, row, 1);
     row.indexed = true;
 }
 
