--- /dev/null
+++ b/tests/support/HistoryChecker.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "crocuslever/Time.h"
+#include "tests/support/HistoryEvent.h"
+
+namespace crocuslever::testing {
+
+/// What must hold in every history.
+enum class Invariant {
+    NoOvercommit,
+    OnePlaceAtATime,
+    OnlyTheKeysTeam, ///< And a withdrawn key stops working.
+    TeamLimit,
+    NothingStartsInADomainOut,
+    AnswersBelongToRequests,
+    NotRunIsTrue,
+    StartedAtMostOnce,
+    NothingStartsOnALeavingUpstream,
+    GracefulStopCutsNothing,
+    ConfigurationInForce, ///< Everywhere, and never an older one again.
+};
+
+const char* toString(Invariant);
+
+struct Violation {
+    Invariant invariant { Invariant::NoOvercommit };
+    HistoryTime t { 0 };
+    std::string text;
+
+    auto tie() const { return std::tie(invariant, t, text); }
+};
+
+/// How long after it was accepted a change may take to be in force.
+struct HistoryLimits {
+    Duration untilChangeBites { std::chrono::seconds(5) };
+    Duration untilRevisionEverywhere { std::chrono::seconds(7) };
+};
+
+/// Judges a history by every invariant. The history is sorted by time.
+std::vector<Violation> checkHistory(const History&, const HistoryLimits& = {});
+/// One line for each violation.
+std::string describe(const std::vector<Violation>&);
+
+} // namespace crocuslever::testing
