--- a/tests/ConfigurationFileTest.cpp
+++ b/tests/ConfigurationFileTest.cpp
@@ -173,10 +173,19 @@
         BOOST_TEST(parseConfigurationFile(text, "f").has_error(), text);
 }
 
+/// The checkout that the test runs in: here, or a folder above.
+static std::filesystem::path findExamples()
+{
+    std::filesystem::path folder = std::filesystem::current_path();
+    while (!std::filesystem::exists(folder / "examples" / "asante") && folder.has_relative_path())
+        folder = folder.parent_path();
+    return folder / "examples";
+}
+
 static std::string readExample(const std::string& name)
 {
-    std::filesystem::path examples = std::filesystem::path(__FILE__).parent_path().parent_path() / "examples";
-    std::ifstream file(examples / name);
+    std::ifstream file(findExamples() / name);
+    BOOST_REQUIRE_MESSAGE(file, name << " is not in a folder above");
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
