--- a/include/crocuslever/PeerMessages.h
+++ b/include/crocuslever/PeerMessages.h
@@ -35,6 +35,7 @@
     Resources deferredRoom; ///< Sum over its usable upstreams, headroom left out.
     Resources capacity; ///< Sum over its upstreams.
     std::vector<TeamUsage> teams; ///< Only those with something to say.
+    TimePoint sentAt; ///< By the sender's clock.
 };
 
 struct ConfigurationRequest { };
@@ -53,6 +54,9 @@
     TaskSpec spec;
     Duration timeLeft { 0 };
     int tries { 0 }; ///< How many owners have refused it.
+    /// By the receiver's clock, reckoned from its last heartbeat: never later than
+    /// the true time, so that a call held up on the way shows its age.
+    TimePoint sentAt;
 };
 
 struct UrgentAnswer {
--- a/src/codec/PeerCodec.cpp
+++ b/src/codec/PeerCodec.cpp
@@ -67,6 +67,7 @@
         toWire(m.capacity, *out.mutable_capacity());
         for (const TeamUsage& usage : m.teams)
             toWire(usage, *out.add_teams());
+        out.set_sent_at_us(m.sentAt.time_since_epoch().count());
     }
 
     void operator()(const ConfigurationRequest&) const { envelope.mutable_configuration_request(); }
@@ -86,6 +87,7 @@
         toWire(m.spec, *out.mutable_spec());
         out.set_time_left_us(m.timeLeft.count());
         out.set_tries(m.tries);
+        out.set_sent_at_us(m.sentAt.time_since_epoch().count());
     }
 
     void operator()(const UrgentAnswer& m) const
@@ -210,6 +212,7 @@
     m.capacity = fromWire(in.capacity());
     for (const wire::TeamUsage& usage : in.teams())
         m.teams.push_back(fromWire(usage));
+    m.sentAt = TimePoint(Duration(in.sent_at_us()));
     return m;
 }
 
@@ -228,6 +231,7 @@
     m.spec = fromWire(in.spec(), check);
     m.timeLeft = Duration(in.time_left_us());
     m.tries = in.tries();
+    m.sentAt = TimePoint(Duration(in.sent_at_us()));
     return m;
 }
 
--- a/src/core/Guards.h
+++ b/src/core/Guards.h
@@ -16,6 +16,7 @@
     DomainCheck, ///< No start in a failure domain that is out.
     LeavingCheck, ///< No start on an upstream that is leaving.
     HonestRefusal, ///< "Not run" only if no owner can have taken the request.
+    CallAge, ///< An urgent call that was held up on the way is not run.
     ShutdownWait, ///< A stop waits for what is in flight.
     RevisionOrder, ///< A configuration is replaced by a higher revision only.
 };
--- a/src/core/JobCalls.cpp
+++ b/src/core/JobCalls.cpp
@@ -179,6 +179,8 @@
             return;
         if (!isFinal(job->record.state) && !job->record.cancelRequested) {
             job->record.cancelRequested = true;
+            for (JobRow::TaskProgress& progress : job->progress)
+                progress.nextQuery = now.steady;
             markChanged(state, *job);
             scheduleAt(state, *job, now.steady);
         }
--- a/src/core/Peers.cpp
+++ b/src/core/Peers.cpp
@@ -66,6 +66,12 @@
     return now - it->second.lastHeard <= state.settings.peerTimeout;
 }
 
+TimePoint timeAt(const CoreState& state, const InstanceId& peer, TimePoint now)
+{
+    const MemberRow& member = state.members.at(peer);
+    return member.heartbeat.sentAt + (now - member.lastHeard);
+}
+
 static std::vector<TeamUsage> ownUsage(const CoreState& state)
 {
     std::map<TeamId, TeamUsage> usage;
@@ -113,6 +119,7 @@
     beat.deferredRoom = freeRoom(state, false, now);
     beat.capacity = ownCapacity(state);
     beat.teams = ownUsage(state);
+    beat.sentAt = now;
     return beat;
 }
 
--- a/src/core/Peers.h
+++ b/src/core/Peers.h
@@ -13,6 +13,10 @@
 /// True if the peer was heard from lately.
 bool isPeerUp(const CoreState&, const InstanceId&, TimePoint now);
 
+/// The peer's own monotonic time now, or somewhat earlier: that of its last
+/// heartbeat and what has passed here since.
+TimePoint timeAt(const CoreState&, const InstanceId& peer, TimePoint now);
+
 void logTo(Actions&, LogLevel, std::string step, std::string message, std::string peer = {}, std::string job = {});
 /// Next pseudo-random number of the seeded sequence.
 std::uint64_t nextRandom(CoreState&);
--- a/src/core/Urgent.cpp
+++ b/src/core/Urgent.cpp
@@ -6,6 +6,7 @@
 
 #include "src/core/Calls.h"
 #include "src/core/Escrow.h"
+#include "src/core/Guards.h"
 #include "src/core/Peers.h"
 #include "src/core/Placement.h"
 #include "src/core/Reservations.h"
@@ -134,7 +135,7 @@
     // Counted at once, since the next heartbeat is some way off.
     Resources& room = state.members.at(owner).heartbeat.urgentRoom;
     room = room - neededRoom(row.spec);
-    sendToPeer(state, owner, UrgentCall { row.id, row.team, row.spec, row.deadline - now, row.tries }, actions);
+    sendToPeer(state, owner, UrgentCall { row.id, row.team, row.spec, row.deadline - now, row.tries, timeAt(state, owner, now) }, actions);
     ++row.tries;
 }
 
@@ -306,6 +307,9 @@
 
 /// Own upstreams that a call may be started on, one after the other.
 static constexpr int kMaximumStarts = 2;
+/// Longest time on the way from the entry instance. Well within the entry's wait
+/// before it tries idempotent work elsewhere (the urgent lease and its margin).
+static constexpr Duration kMaximumTransit = std::chrono::seconds(1);
 /// Kept back of the time left, for the answer's way.
 static constexpr Duration kReplyTime = std::chrono::milliseconds(50);
 
@@ -382,9 +386,21 @@
     return RefusalReason::None;
 }
 
+/// A call that was held up on the way may have been given up or tried elsewhere
+/// by now. The time on the way counts from the sender's reckoning of this clock.
+static bool isTooOld(const UrgentCall& call, TimePoint now)
+{
+    return now - call.sentAt > kMaximumTransit && isOn(Guard::CallAge);
+}
+
 void handleUrgentCall(CoreState& state, const InstanceId& from, const UrgentCall& call, TimePoint now, Actions& actions)
 {
-    UrgentOrigin origin { from, call.call, now + call.timeLeft, call.spec, 0 };
+    UrgentOrigin origin { from, call.call, call.sentAt + call.timeLeft, call.spec, 0 };
+    if (isTooOld(call, now)) {
+        state.counters.add("urgent_calls_too_old_total");
+        replyWithout(state, origin, CallOutcome::NotRun, RefusalReason::DeadlinePassed, actions);
+        return;
+    }
     RefusalReason reason = startUrgent(state, call.team, origin, {}, now, actions);
     if (reason != RefusalReason::None)
         replyWithout(state, origin, CallOutcome::NotRun, reason, actions);
--- a/tests/HandDrivenCellTest.cpp
+++ b/tests/HandDrivenCellTest.cpp
@@ -193,6 +193,16 @@
         BOOST_TEST((at <= out));
 }
 
+BOOST_AUTO_TEST_CASE(ACancelledJobStopsAtOnce)
+{
+    JobId job = submit(0, makeSubmission("cancelled", false, 60000));
+    BOOST_REQUIRE(cell.runUntil([&] { return cell.startsOf(job) == 1; }));
+    cell.runFor(std::chrono::seconds(1));
+    cell.call(1, kKey, JobCancellation { job });
+    cell.runFor(std::chrono::seconds(2));
+    BOOST_TEST(toString(stateOf(2, job)) == toString(JobState::Cancelled));
+}
+
 BOOST_AUTO_TEST_CASE(AStoppingCoreHandsOverAndCutsNothing)
 {
     std::vector<JobId> jobs;
--- a/tests/PeerCodecTest.cpp
+++ b/tests/PeerCodecTest.cpp
@@ -45,7 +45,7 @@
         makeHeartbeat(),
         ConfigurationRequest {},
         ConfigurationOffer { 3, "{}" },
-        UrgentCall { 1, team, makeSpec("body"), Duration(2), 3 },
+        UrgentCall { 1, team, makeSpec("body"), Duration(2), 3, TimePoint(Duration(4)) },
         UrgentAnswer { 1, makeReply() },
         JobCall { 1, team, JobSubmission { "id \xff", makeSpec("body") } },
         JobCall { 1, team, JobQuery { job, true } },
--- a/tests/UrgentTest.cpp
+++ b/tests/UrgentTest.cpp
@@ -69,7 +69,7 @@
 
     std::vector<UpstreamStart> call(bool idempotent, Duration timeLeft = seconds(2))
     {
-        UrgentCall message { 9, TeamId("shop"), makeSpec(WorkKind::Urgent, idempotent), timeLeft, 0 };
+        UrgentCall message { 9, TeamId("shop"), makeSpec(WorkKind::Urgent, idempotent), timeLeft, 0, now };
         handleUrgentCall(state, InstanceId("entry-2"), message, now, actions);
         return take<UpstreamStart>();
     }
--- a/tests/guards/GuardsTest.cpp
+++ b/tests/guards/GuardsTest.cpp
@@ -241,6 +241,20 @@
     }));
 }
 
+/// Calls to one owner are held up for longer than their entry instance waits.
+int runTwiceAfterDelay(std::uint64_t seed)
+{
+    HandDrivenCell cell = makeCell(seed, 1000);
+    constexpr int kCalls = 40;
+    cell.conduct(1).peersHeldUp = true;
+    for (int n = 0; n < kCalls; ++n)
+        cell.call(0, kKey, makeLookup(50));
+    cell.runFor(std::chrono::milliseconds(2250));
+    cell.conduct(1).peersHeldUp = false;
+    cell.runFor(std::chrono::seconds(3));
+    return std::max(0, cell.startsOfTeam(kTeam) - kCalls);
+}
+
 int revertedConfiguration(std::uint64_t seed)
 {
     HandDrivenCell cell = makeCell(seed, 1000);
@@ -286,6 +300,7 @@
 BOOST_AUTO_TEST_CASE(AnInstanceThatIsCutOffStopsByItself) { checkGuard(Guard::Validity, domainOutWhileCutOff); }
 BOOST_AUTO_TEST_CASE(ALeavingUpstreamGetsNoWork) { checkGuard(Guard::LeavingCheck, leavingUpstream); }
 BOOST_AUTO_TEST_CASE(NotRunIsTrue) { checkGuard(Guard::HonestRefusal, falseNotRun); }
+BOOST_AUTO_TEST_CASE(ACallThatWasHeldUpDoesNotRunASecondTime) { checkGuard(Guard::CallAge, runTwiceAfterDelay); }
 BOOST_AUTO_TEST_CASE(AStopCutsNothing) { checkGuard(Guard::ShutdownWait, cutByShutdown); }
 BOOST_AUTO_TEST_CASE(AConfigurationNeverReverts) { checkGuard(Guard::RevisionOrder, revertedConfiguration); }
 
--- a/tests/support/HandDrivenCell.cpp
+++ b/tests/support/HandDrivenCell.cpp
@@ -110,6 +110,10 @@
     if (!core.conduct.alive || core.conduct.frozen)
         return;
     deliverWatch(core);
+    if (!core.conduct.peersHeldUp) {
+        core.inbox.insert(core.inbox.end(), core.heldUp.begin(), core.heldUp.end());
+        core.heldUp.clear();
+    }
     std::deque<Event> inbox = std::move(core.inbox);
     core.inbox.clear();
     Actions actions;
@@ -159,9 +163,12 @@
 void HandDrivenCell::execute(std::size_t n, const PeerSend& send)
 {
     std::size_t to = std::stoul(send.address);
+    if (m_cores[n].conduct.peersHeldUp)
+        return;
     if (m_cores[n].conduct.cutFromPeers || m_cores[to].conduct.cutFromPeers || !m_cores[to].conduct.alive)
         return;
-    m_cores[to].inbox.push_back(PeerReceived { m_cores[n].state->settings.self, send.message });
+    std::deque<Event>& inbox = m_cores[to].conduct.peersHeldUp ? m_cores[to].heldUp : m_cores[to].inbox;
+    inbox.push_back(PeerReceived { m_cores[n].state->settings.self, send.message });
 }
 
 // The store.
--- a/tests/support/HandDrivenCell.h
+++ b/tests/support/HandDrivenCell.h
@@ -20,6 +20,8 @@
     bool frozen { false }; ///< Runs nothing; what is sent to it waits.
     bool cutFromStore { false };
     bool cutFromPeers { false };
+    /// What peers send it waits, and comes when this ends; what it sends is lost.
+    bool peersHeldUp { false };
     std::set<std::size_t> cutFromUpstreams; ///< By their numbers.
     int storeAnswersToLose { 0 }; ///< The change takes effect, its answer is lost.
 };
@@ -73,6 +75,7 @@
         std::unique_ptr<CoreState> state;
         CoreConduct conduct;
         std::deque<Event> inbox;
+        std::deque<Event> heldUp;
         StoreRevision watchFrom { 0 };
     };
     struct Upstream {
