--- /dev/null
+++ b/tests/integration/FailureTest.cpp
@@ -0,0 +1,255 @@
+// Failures of real processes. Each scenario draws its choices from a seed, and
+// the history of all the processes is judged at its end.
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "tests/support/Cell.h"
+
+using namespace crocuslever;
+using namespace crocuslever::testing;
+
+BOOST_AUTO_TEST_SUITE(FailureTest)
+
+namespace {
+
+/// A cell under load, and the choices of one scenario.
+class Scenario {
+public:
+    explicit Scenario(unsigned seed)
+        : m_cell({ CROCUSLEVER_BIN_DIR })
+        , m_random(seed)
+    {
+        BOOST_REQUIRE_MESSAGE(m_cell.waitUntilReady(), m_cell.tails());
+    }
+
+    Cell& cell() { return m_cell; }
+    int draw(int least, int most) { return least + static_cast<int>(m_random() % static_cast<unsigned>(most - least + 1)); }
+    int drawInstance() { return draw(0, m_cell.size() - 1); }
+    int other(int instance) { return (instance + draw(1, m_cell.size() - 1)) % m_cell.size(); }
+
+    /// Hands in jobs of both kinds at any instance but one.
+    void submit(int count, int except = -1)
+    {
+        for (int n = 0; n < count; ++n) {
+            int instance = except < 0 ? drawInstance() : other(except);
+            m_jobs.push_back(m_cell.submit(instance, draw(0, 1) == 0, draw(100, 1500)));
+        }
+    }
+
+    /// What was not refused is handed in until it is known to be accepted, and then comes to its end.
+    void requireAllEnd(int except = -1)
+    {
+        for (SubmittedJob& job : m_jobs) {
+            if (job.outcome == "not_run")
+                continue;
+            BOOST_REQUIRE_MESSAGE(m_cell.waitFor([&] { return comesToItsEnd(job, except); }), job.id << " " << job.outcome << " " << m_cell.lastFetch() << "\n"
+                                                                                                     << m_cell.tails());
+        }
+    }
+
+    /// Keeps the cell busy with lookups for this long; how many were answered.
+    int lookUpFor(Duration duration, int except = -1)
+    {
+        int answered = 0;
+        auto end = std::chrono::steady_clock::now() + duration;
+        while (std::chrono::steady_clock::now() < end) {
+            int instance = except < 0 ? drawInstance() : other(except);
+            if (m_cell.lookUp(instance).status == 200)
+                ++answered;
+        }
+        return answered;
+    }
+
+    void requireNoViolation()
+    {
+        std::vector<Violation> violations = checkHistory(m_cell.history());
+        BOOST_TEST(violations.empty(), describe(violations) << m_cell.tails());
+    }
+
+private:
+    bool comesToItsEnd(SubmittedJob& job, int except)
+    {
+        int instance = except < 0 ? drawInstance() : other(except);
+        if (!job.job.empty())
+            return m_cell.fetch(instance, job);
+        m_cell.resubmit(instance, job);
+        return job.outcome == "not_run";
+    }
+
+    Cell m_cell;
+    std::mt19937 m_random;
+    std::vector<SubmittedJob> m_jobs;
+};
+
+} // namespace
+
+static constexpr Duration kPastTheLease = std::chrono::seconds(6);
+static constexpr Duration kPastTheGrace = std::chrono::seconds(7);
+
+BOOST_AUTO_TEST_CASE(AnOwnerIsKilledWithJobsInFlight)
+{
+    Scenario scenario(11);
+    scenario.submit(12);
+    int victim = scenario.drawInstance();
+    scenario.cell().kill(victim);
+    scenario.submit(6, victim);
+    scenario.requireAllEnd(victim);
+    scenario.cell().start(victim);
+    BOOST_TEST(scenario.cell().waitUntilReady());
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerIsFrozenPastItsLease)
+{
+    Scenario scenario(12);
+    scenario.submit(12);
+    int victim = scenario.drawInstance();
+    scenario.cell().freeze(victim);
+    scenario.submit(6, victim);
+    // Its jobs end only once its shards have been taken over.
+    scenario.requireAllEnd(victim);
+    scenario.lookUpFor(kPastTheLease, victim);
+    scenario.cell().thaw(victim);
+    BOOST_TEST(scenario.cell().waitUntilReady());
+    scenario.submit(6);
+    scenario.requireAllEnd();
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(TheStoreIsFrozenPastTheLease)
+{
+    Scenario scenario(13);
+    scenario.submit(8);
+    for (int n = 0; n < scenario.cell().size(); ++n)
+        scenario.cell().setStoreLink(n, "freeze");
+    // Lookups need no store.
+    BOOST_TEST(scenario.lookUpFor(kPastTheLease) > 0);
+    for (int n = 0; n < scenario.cell().size(); ++n)
+        scenario.cell().setStoreLink(n, "pass");
+    BOOST_TEST(scenario.cell().waitUntilReady());
+    scenario.submit(6);
+    scenario.requireAllEnd();
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AnswersOfTheStoreAreLost)
+{
+    Scenario scenario(14);
+    int victim = scenario.drawInstance();
+    scenario.submit(4);
+    scenario.cell().setStoreLink(victim, "drop-answers");
+    scenario.submit(8);
+    scenario.cell().setStoreLink(victim, "pass");
+    scenario.requireAllEnd();
+    BOOST_TEST(scenario.cell().waitUntilReady());
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AnInstanceIsCutOffFromTheStore)
+{
+    Scenario scenario(15);
+    int victim = scenario.drawInstance();
+    scenario.submit(8);
+    scenario.cell().setStoreLink(victim, "cut");
+    scenario.lookUpFor(kPastTheLease);
+    scenario.submit(8, victim);
+    scenario.requireAllEnd(victim);
+    scenario.cell().setStoreLink(victim, "pass");
+    BOOST_TEST(scenario.cell().waitUntilReady());
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AFailureDomainGoesOutAndComesBack)
+{
+    Scenario scenario(16);
+    scenario.submit(6);
+    Configuration configuration = scenario.cell().configuration();
+    configuration.domainsOut.push_back({ FailureDomainId("domain-" + std::to_string(scenario.draw(1, 3))), "mains work" });
+    BOOST_REQUIRE(scenario.cell().apply(configuration));
+    scenario.submit(6);
+    BOOST_TEST(scenario.lookUpFor(kPastTheGrace) > 0);
+    scenario.submit(6);
+    scenario.requireAllEnd();
+    configuration.domainsOut.clear();
+    BOOST_REQUIRE(scenario.cell().apply(configuration));
+    BOOST_TEST(scenario.cell().waitFor([&] { return scenario.cell().isInForce(3); }));
+    scenario.submit(6);
+    scenario.requireAllEnd();
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AKeyIsWithdrawn)
+{
+    Scenario scenario(17);
+    Configuration configuration = scenario.cell().configuration();
+    configuration.teams[0].keys.clear();
+    BOOST_REQUIRE(scenario.cell().apply(configuration));
+    scenario.lookUpFor(kPastTheGrace);
+    scenario.submit(6);
+    BOOST_TEST(scenario.lookUpFor(std::chrono::seconds(1)) == 0);
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(ATeamsLimitIsLowered)
+{
+    Scenario scenario(18);
+    scenario.submit(20);
+    Configuration configuration = scenario.cell().configuration();
+    configuration.teams[0].upperLimit = 3;
+    BOOST_REQUIRE(scenario.cell().apply(configuration));
+    scenario.submit(10);
+    scenario.requireAllEnd();
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamLeaves)
+{
+    Scenario scenario(19);
+    scenario.submit(6);
+    scenario.cell().setLeaving(scenario.draw(0, 5), true);
+    scenario.lookUpFor(kPastTheGrace);
+    scenario.submit(10);
+    scenario.requireAllEnd();
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(EveryInstanceIsReplacedUnderLoad)
+{
+    Scenario scenario(20);
+    Cell& cell = scenario.cell();
+    for (int n = 0; n < cell.size(); ++n) {
+        scenario.submit(4);
+        PendingLookUp pending = cell.beginLookUp(n, 500);
+        cell.terminate(n);
+        scenario.submit(4, n);
+        cell.finishLookUp(pending);
+        BOOST_REQUIRE_MESSAGE(cell.waitForExit(n), cell.tails());
+        scenario.lookUpFor(std::chrono::seconds(1), n);
+        cell.start(n);
+        BOOST_REQUIRE_MESSAGE(cell.waitUntilReady(), cell.tails());
+    }
+    scenario.requireAllEnd();
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(TwoOperatorsRace)
+{
+    Scenario scenario(21);
+    Cell& cell = scenario.cell();
+    Configuration base = cell.configuration();
+    Configuration first = base;
+    first.teams[0].upperLimit = 8;
+    Configuration second = base;
+    second.teams[0].upperLimit = 9;
+    BOOST_TEST(cell.applyOver(base, first));
+    BOOST_TEST(!cell.applyOver(base, second));
+    second.revision = cell.configuration().revision;
+    BOOST_TEST(cell.apply(second));
+    BOOST_TEST(cell.waitFor([&] { return cell.isInForce(3); }));
+    scenario.submit(4);
+    scenario.requireAllEnd();
+    scenario.requireNoViolation();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/Cell.cpp
+++ b/tests/support/Cell.cpp
@@ -267,7 +267,7 @@
     return { { "request_put", put } };
 }
 
-static Json encodeCompare(const Configuration& before)
+static Json encodeBase(const Configuration& before)
 {
     Json compare { { "key", encodeBase64(kConfigurationKey) }, { "result", "EQUAL" } };
     if (before.revision == 0) {
@@ -294,14 +294,16 @@
     return line;
 }
 
-bool Cell::apply(Configuration next)
+bool Cell::apply(Configuration next) { return applyOver(m_configuration, std::move(next)); }
+
+bool Cell::applyOver(const Configuration& base, Configuration next)
 {
-    next.revision = m_configuration.revision + 1;
+    next.revision = base.revision + 1;
     ClientRequest request;
     request.method = "POST";
     request.port = m_storePort;
     request.target = "/v3/kv/txn";
-    request.body = Json { { "compare", { encodeCompare(m_configuration) } }, { "success", { encodePut(next) } }, { "failure", Json::array() } }.dump();
+    request.body = Json { { "compare", { encodeBase(base) } }, { "success", { encodePut(next) } }, { "failure", Json::array() } }.dump();
     ClientAnswer answer;
     waitFor([&] {
         answer = callHttp(request);
@@ -346,37 +348,69 @@
     return answer.body.rfind("answer:" + sha256Hex(body) + ":", 0) == 0;
 }
 
-ClientAnswer Cell::call(int n, ClientRequest request, const std::string& kind, const std::string& body, bool idempotent, SubmittedJob* job)
+Json Cell::logSend(int n, const std::string& kind, const std::string& body, bool idempotent)
 {
-    std::string id = "c" + std::to_string(++m_nextCall);
-    Json line { { "source", "caller" }, { "event", "send" }, { "call", id }, { "instance", m_instances[n].name }, { "team", "shopfloor" },
-        { "key", kKey }, { "kind", kind }, { "idempotent", idempotent }, { "body_sha256", sha256Hex(body) } };
+    Json line { { "source", "caller" }, { "event", "send" }, { "call", "c" + std::to_string(++m_nextCall) }, { "instance", m_instances[n].name },
+        { "team", "shopfloor" }, { "key", kKey }, { "kind", kind }, { "idempotent", idempotent }, { "body_sha256", sha256Hex(body) } };
     m_log->write(line);
-    request.port = m_instances[n].callerPort;
-    request.key = kKey;
-    ClientAnswer answer = callHttp(request);
+    return line;
+}
+
+void Cell::logAnswer(Json& line, const ClientAnswer& answer, const std::string& body)
+{
     line["event"] = "answer";
     line["outcome"] = outcomeOf(answer);
     Json json = Json::parse(answer.body, nullptr, false);
     line["job"] = json.is_object() ? json.value("job", std::string()) : std::string();
     if (!answer.outcome.empty())
         line["body_ok"] = isOwnAnswer(answer, body);
-    if (job) {
-        job->outcome = line["outcome"].get<std::string>();
-        if (job->outcome == "accepted")
-            job->job = line["job"].get<std::string>();
-    }
     m_log->write(line);
+}
+
+ClientAnswer Cell::call(int n, ClientRequest request, const std::string& kind, const std::string& body, bool idempotent, SubmittedJob* job)
+{
+    Json line = logSend(n, kind, body, idempotent);
+    request.port = m_instances[n].callerPort;
+    request.key = kKey;
+    ClientAnswer answer = callHttp(request);
+    logAnswer(line, answer, body);
+    if (!job)
+        return answer;
+    job->outcome = line["outcome"].get<std::string>();
+    if (job->outcome == "accepted")
+        job->job = line["job"].get<std::string>();
     return answer;
 }
 
-ClientAnswer Cell::lookUp(int n, int sleepMs)
+ClientRequest Cell::makeLookUp(int n, int sleepMs) const
 {
     ClientRequest request;
     request.method = "POST";
+    request.port = m_instances[n].callerPort;
     request.target = "/v1/urgent/tolerance?idempotent=true";
+    request.key = kKey;
     request.body = Json { { "sleep_ms", sleepMs }, { "lookup", m_nextCall } }.dump();
-    return call(n, request, "urgent", request.body, true, nullptr);
+    return request;
+}
+
+ClientAnswer Cell::lookUp(int n, int sleepMs)
+{
+    PendingLookUp pending = beginLookUp(n, sleepMs);
+    return finishLookUp(pending);
+}
+
+PendingLookUp Cell::beginLookUp(int n, int sleepMs)
+{
+    ClientRequest request = makeLookUp(n, sleepMs);
+    Json line = logSend(n, "urgent", request.body, true);
+    return { line, request.body, std::async(std::launch::async, callHttp, request) };
+}
+
+ClientAnswer Cell::finishLookUp(PendingLookUp& pending)
+{
+    ClientAnswer answer = pending.answer.get();
+    logAnswer(pending.line, answer, pending.body);
+    return answer;
 }
 
 static ClientRequest makeSubmission(const SubmittedJob& job, bool idempotent)
--- a/tests/support/Cell.h
+++ b/tests/support/Cell.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,13 @@
     std::string outcome; ///< Of the last answer.
 };
 
+/// A lookup that has been sent and not yet waited for.
+struct PendingLookUp {
+    nlohmann::json line; ///< Of the event log.
+    std::string body;
+    std::future<ClientAnswer> answer;
+};
+
 /// A whole cell of real processes on the loopback address, with a fault proxy
 /// before the store, one link for each instance. Everything ends with this.
 class Cell {
@@ -44,6 +53,8 @@
 
     // Callers.
     ClientAnswer lookUp(int instance, int sleepMs = 20);
+    PendingLookUp beginLookUp(int instance, int sleepMs);
+    ClientAnswer finishLookUp(PendingLookUp&);
     SubmittedJob submit(int instance, bool idempotent, int sleepMs);
     /// Submits again under the same id.
     void resubmit(int instance, SubmittedJob&);
@@ -55,6 +66,8 @@
     Configuration configuration() const { return m_configuration; }
     /// Compares and swaps by the revision that it replaces; false if another change came first.
     bool apply(Configuration);
+    /// As an operator who read `base`, which may be outdated by now.
+    bool applyOver(const Configuration& base, Configuration);
     bool isInForce(std::uint64_t revision);
     void setLeaving(int upstream, bool leaving);
 
@@ -89,7 +102,9 @@
     void writeSettings(int instance);
     void logFault(int instance, const std::string& event, int exitStatus = 0);
     ClientAnswer call(int instance, ClientRequest, const std::string& kind, const std::string& body, bool idempotent, SubmittedJob*);
-    void post(SubmittedJob&, int instance, bool idempotent, int sleepMs);
+    nlohmann::json logSend(int instance, const std::string& kind, const std::string& body, bool idempotent);
+    void logAnswer(nlohmann::json& line, const ClientAnswer&, const std::string& body);
+    ClientRequest makeLookUp(int instance, int sleepMs) const;
 
     CellSettings m_settings;
     std::string m_folder;
