--- /dev/null
+++ b/src/control/Arguments.cpp
@@ -0,0 +1,269 @@
+#include "src/control/Arguments.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <tclap/CmdLine.h>
+
+namespace crocuslever {
+
+static const char* const kExitCodes = "Exit status: 0 done; 1 refused or failed; 2 wrong usage; 3 the file is not valid; "
+                                      "4 another operator was first, nothing was changed; 5 not reachable, or the outcome is unknown; "
+                                      "6 accepted but not yet in force everywhere.";
+
+namespace {
+
+struct Command {
+    const char* name;
+    std::vector<const char*> operands;
+    const char* description;
+};
+
+} // namespace
+
+static const std::vector<Command>& commands()
+{
+    static const std::vector<Command> kCommands = {
+        { "validate", { "FILE" }, "Check a configuration file." },
+        { "diff", { "FILE" }, "Show what applying the file would change." },
+        { "apply", { "FILE" }, "Put the file's configuration into the store; --wait [SECONDS] until it is in force." },
+        { "status", {}, "Show the fleet as each entry instance sees it, and the store's revision." },
+        { "key new", { "TEAM" }, "Make a key for a team and print it once." },
+        { "key withdraw", { "TEAM", "KEYID" }, "Withdraw a team's key." },
+        { "key list", {}, "List the keys in force by team and id." },
+        { "domain out", { "NAME" }, "Give a failure domain no new work; needs --reason." },
+        { "domain in", { "NAME" }, "Give a failure domain work again." },
+        { "submit", {}, "Hand in a job; needs --id and --service. The same id is the same job." },
+        { "get", { "JOB" }, "Show a job's state." },
+        { "result", { "JOB" }, "Print a job's result as it is." },
+        { "cancel", { "JOB" }, "Cancel a job." },
+    };
+    return kCommands;
+}
+
+static std::string usageOf(const Command& command)
+{
+    std::string text = command.name;
+    for (const char* operand : command.operands)
+        text += std::string(" ") + operand;
+    return text;
+}
+
+static void printHelp(std::ostream& out)
+{
+    out << "Usage: crocusctl COMMAND [OPTIONS]\n\nCommands (crocusctl COMMAND --help for the options of each):\n";
+    for (const Command& command : commands())
+        out << "  " << usageOf(command) << "\n      " << command.description << "\n";
+    out << "\n"
+        << kExitCodes << "\n";
+}
+
+static const Command* findCommand(const std::vector<std::string>& words)
+{
+    for (const Command& command : commands()) {
+        std::string two = words.size() > 1 ? words[0] + " " + words[1] : "";
+        if (command.name == words[0] || command.name == two)
+            return &command;
+    }
+    return nullptr;
+}
+
+static bool isNumber(const std::string& text)
+{
+    return !text.empty() && text.find_first_not_of("0123456789") == std::string::npos;
+}
+
+// TCLAP has no options whose value may be left out.
+static void completeWait(std::vector<std::string>& words)
+{
+    static const char* const kDefaultWait = "30";
+    for (std::size_t i = 0; i < words.size(); ++i) {
+        bool hasValue = i + 1 < words.size() && isNumber(words[i + 1]);
+        if (words[i] == "--wait" && !hasValue)
+            words.insert(words.begin() + static_cast<std::ptrdiff_t>(i) + 1, kDefaultWait);
+    }
+}
+
+namespace {
+
+bool isJobCommand(const std::string& name) { return name == "submit" || name == "get" || name == "result" || name == "cancel"; }
+
+bool needsStore(const std::string& name) { return name != "validate" && name != "status" && !isJobCommand(name); }
+
+/// The options of one subcommand: only those that it takes.
+class OptionReader {
+public:
+    OptionReader(const Command& command, const std::string& version)
+        : m_name(command.name)
+        , m_line(std::string(command.description) + " " + kExitCodes, ' ', version)
+        , m_json("", "json", "Print JSON", m_line)
+    {
+        m_line.setExceptionHandling(false);
+        for (const char* operand : command.operands)
+            addOperand(operand);
+        if (m_name == "status" || needsStore(m_name))
+            addList(m_stores, "store", "Endpoint of the key-value service", needsStore(m_name));
+        if (m_name == "status" || m_name == "apply" || isJobCommand(m_name))
+            addList(m_entries, "entry", "An entry instance", m_name != "apply");
+        addOwnOptions();
+    }
+
+    Arguments read(std::vector<std::string>& words)
+    {
+        m_line.parse(words);
+        Arguments arguments;
+        arguments.command = m_name;
+        for (const auto& operand : m_operands)
+            arguments.operands.push_back(operand->getValue());
+        arguments.asJson = m_json.getValue();
+        arguments.stores = m_stores ? m_stores->getValue() : std::vector<std::string>();
+        arguments.entries = m_entries ? m_entries->getValue() : std::vector<std::string>();
+        if (m_wait && m_wait->isSet())
+            arguments.wait = std::chrono::seconds(m_wait->getValue());
+        readOwnOptions(arguments);
+        return arguments;
+    }
+
+private:
+    using TextArg = std::unique_ptr<TCLAP::ValueArg<std::string>>;
+    using ListArg = std::unique_ptr<TCLAP::MultiArg<std::string>>;
+
+    void addOperand(const char* name)
+    {
+        m_operands.push_back(std::make_unique<TCLAP::UnlabeledValueArg<std::string>>(name, name, true, "", name, m_line));
+    }
+
+    void addList(ListArg& arg, const char* name, const char* description, bool required)
+    {
+        arg = std::make_unique<TCLAP::MultiArg<std::string>>("", name, std::string(description) + "; may be repeated", required, "IP:port", m_line);
+    }
+
+    void addText(TextArg& arg, const char* name, const char* description, bool required, const char* type, const char* fallback = "")
+    {
+        arg = std::make_unique<TCLAP::ValueArg<std::string>>("", name, description, required, fallback, type, m_line);
+    }
+
+    void addOwnOptions()
+    {
+        if (m_name == "apply")
+            m_wait = std::make_unique<TCLAP::ValueArg<unsigned int>>("", "wait", "Wait until all instances have it; 30 if no number is given", false, 0, "seconds", m_line);
+        if (m_name == "domain out")
+            addText(m_reason, "reason", "Why, for the other operators", true, "text");
+        if (isJobCommand(m_name))
+            addText(m_key, "key", "The team's key; else CROCUSLEVER_KEY in the environment, which other users can't see", false, "ID.SECRET");
+        if (m_name == "submit")
+            addSubmitOptions();
+    }
+
+    void addSubmitOptions()
+    {
+        addText(m_id, "id", "The job's idempotency id", true, "id");
+        addText(m_service, "service", "Name of the handler at the upstream", true, "name");
+        addText(m_kind, "kind", "batch, gang or service", false, "kind", "batch");
+        addText(m_body, "body", "Body of the task", false, "text");
+        addText(m_bodyFile, "body-file", "File with the body of the task", false, "file");
+        m_idempotent = std::make_unique<TCLAP::SwitchArg>("", "idempotent", "The job may be tried again", m_line);
+    }
+
+    static std::string valueOf(const TextArg& arg) { return arg ? arg->getValue() : ""; }
+
+    void readOwnOptions(Arguments& arguments) const
+    {
+        arguments.reason = valueOf(m_reason);
+        arguments.key = valueOf(m_key);
+        arguments.id = valueOf(m_id);
+        arguments.service = valueOf(m_service);
+        arguments.kind = valueOf(m_kind);
+        arguments.body = valueOf(m_body);
+        arguments.bodyFile = valueOf(m_bodyFile);
+        arguments.idempotent = m_idempotent && m_idempotent->getValue();
+    }
+
+    std::string m_name;
+    TCLAP::CmdLine m_line;
+    TCLAP::SwitchArg m_json;
+    std::vector<std::unique_ptr<TCLAP::UnlabeledValueArg<std::string>>> m_operands;
+    ListArg m_stores;
+    ListArg m_entries;
+    std::unique_ptr<TCLAP::ValueArg<unsigned int>> m_wait;
+    std::unique_ptr<TCLAP::SwitchArg> m_idempotent;
+    TextArg m_reason;
+    TextArg m_key;
+    TextArg m_id;
+    TextArg m_service;
+    TextArg m_kind;
+    TextArg m_body;
+    TextArg m_bodyFile;
+};
+
+} // namespace
+
+static std::string findFault(const Arguments& arguments)
+{
+    if (arguments.wait && arguments.entries.empty())
+        return "--wait needs --entry: the instances to ask";
+    if (!arguments.body.empty() && !arguments.bodyFile.empty())
+        return "--body and --body-file can't both be given";
+    if (arguments.command == "domain out" && arguments.reason.empty())
+        return "--reason must not be empty";
+    if (arguments.command == "submit" && arguments.kind != "batch" && arguments.kind != "gang" && arguments.kind != "service")
+        return "--kind must be batch, gang or service";
+    if (!isJobCommand(arguments.command))
+        return "";
+    if (arguments.key.empty())
+        return "needs --key or CROCUSLEVER_KEY";
+    // It becomes part of a header.
+    bool isPlain = std::all_of(arguments.key.begin(), arguments.key.end(), [](unsigned char c) { return c > ' ' && c < 127; });
+    return isPlain ? "" : "the key holds characters that no key has";
+}
+
+static ParsedArguments failUsage(const std::string& message)
+{
+    std::cerr << "crocusctl: " << message << "\n";
+    return { std::nullopt, ExitUsage };
+}
+
+static ParsedArguments parseCommand(const Command& command, std::vector<std::string> words, const std::string& version)
+{
+    bool isTwoWords = std::string(command.name).find(' ') != std::string::npos;
+    words.erase(words.begin(), words.begin() + (isTwoWords ? 2 : 1));
+    words.insert(words.begin(), std::string("crocusctl ") + command.name);
+    completeWait(words);
+    try {
+        Arguments arguments = OptionReader(command, version).read(words);
+        const char* key = std::getenv("CROCUSLEVER_KEY");
+        if (isJobCommand(arguments.command) && arguments.key.empty() && key)
+            arguments.key = key;
+        std::string fault = findFault(arguments);
+        if (!fault.empty())
+            return failUsage(fault);
+        return { arguments, ExitOk };
+    } catch (const TCLAP::ArgException& e) {
+        return failUsage(e.error() + " " + e.argId() + "; see crocusctl " + command.name + " --help");
+    } catch (const TCLAP::ExitException& e) {
+        return { std::nullopt, e.getExitStatus() == 0 ? ExitOk : ExitUsage };
+    }
+}
+
+ParsedArguments parseArguments(std::vector<std::string> words, const std::string& version)
+{
+    if (words.empty()) {
+        printHelp(std::cerr);
+        return { std::nullopt, ExitUsage };
+    }
+    if (words[0] == "--help" || words[0] == "-h") {
+        printHelp(std::cout);
+        return { std::nullopt, ExitOk };
+    }
+    if (words[0] == "--version") {
+        std::cout << "crocusctl " << version << "\n";
+        return { std::nullopt, ExitOk };
+    }
+    const Command* command = findCommand(words);
+    if (!command)
+        return failUsage("no command \"" + words[0] + "\"; see crocusctl --help");
+    return parseCommand(*command, std::move(words), version);
+}
+
+} // namespace crocuslever
--- a/src/store/HttpClient.cpp
+++ b/src/store/HttpClient.cpp
@@ -42,6 +42,8 @@
     message.set(http::field::host, host);
     if (!request.body.empty())
         message.set(http::field::content_type, "application/json");
+    if (!request.bearerKey.empty())
+        message.set(http::field::authorization, "Bearer " + request.bearerKey);
     message.body() = request.body;
     message.prepare_payload();
     return message;
--- a/src/store/HttpClient.h
+++ b/src/store/HttpClient.h
@@ -16,6 +16,7 @@
     std::string method { "POST" };
     std::string target;
     std::string body; ///< JSON, or empty.
+    std::string bearerKey {}; ///< Shown to the service unless empty.
 };
 
 /// A whole answer, of any status.
--- /dev/null
+++ b/tests/ControlTest.cpp
@@ -0,0 +1,534 @@
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <unistd.h>
+
+#include "src/codec/RecordCodec.h"
+#include "src/config/ConfigurationFile.h"
+#include "src/control/Commands.h"
+#include "src/control/ConfigurationChanges.h"
+#include "src/control/ConfigurationDiff.h"
+#include "src/control/ConfigurationStore.h"
+#include "src/control/FleetStatus.h"
+#include "src/core/StoreKeys.h"
+#include "tests/support/FakeStore.h"
+#include "tests/support/HttpFake.h"
+
+using namespace crocuslever;
+using namespace crocuslever::testing;
+
+static const std::string kHash(64, 'a');
+
+using Lines = std::vector<std::string>;
+
+BOOST_AUTO_TEST_SUITE(ControlTest)
+
+static Configuration makeConfiguration(int upperLimit)
+{
+    Configuration configuration;
+    configuration.teams.push_back({ TeamId("archive"), 1, upperLimit, { { "archive-1", "ab", kHash } } });
+    return configuration;
+}
+
+/// A file that is gone at the end of the test.
+struct TemporaryFile {
+    explicit TemporaryFile(const std::string& text)
+    {
+        char name[] = "/tmp/crocuslever-control-test-XXXXXX";
+        int fd = mkstemp(name);
+        BOOST_TEST_REQUIRE(fd >= 0);
+        close(fd);
+        path = name;
+        std::ofstream(path) << text;
+    }
+    TemporaryFile(const TemporaryFile&) = delete;
+    TemporaryFile& operator=(const TemporaryFile&) = delete;
+    ~TemporaryFile() { std::remove(path.c_str()); }
+
+    std::string path;
+};
+
+struct Fixture {
+    Fixture()
+        : fakeStore(io, "127.0.0.1", 0)
+        , store(io, settings())
+    {
+    }
+
+    StoreClientSettings settings() const
+    {
+        StoreClientSettings result;
+        result.endpoints = { fakeStore.endpoint() };
+        return result;
+    }
+
+    StoredConfiguration read()
+    {
+        Result<StoredConfiguration> result = store.read();
+        BOOST_TEST_REQUIRE(result.has_value());
+        return result.value();
+    }
+
+    /// Another operator's change, straight into the store.
+    void putDirectly(const Configuration& configuration)
+    {
+        ModelTransaction transaction;
+        ModelOperation put;
+        put.key = kConfigurationKey;
+        put.value = encodeConfiguration(configuration);
+        transaction.success.push_back(put);
+        BOOST_TEST_REQUIRE(fakeStore.model().transact(transaction).has_value());
+    }
+
+    void putDirectly(int upperLimit, std::uint64_t revision)
+    {
+        Configuration configuration = makeConfiguration(upperLimit);
+        configuration.revision = revision;
+        putDirectly(configuration);
+    }
+
+    ExitCode run(Arguments arguments)
+    {
+        out.str("");
+        err.str("");
+        arguments.stores = { fakeStore.endpoint() };
+        return runCommand(io, arguments, { out, err });
+    }
+
+    ExitCode run(const std::string& command, const std::vector<std::string>& operands)
+    {
+        Arguments arguments;
+        arguments.command = command;
+        arguments.operands = operands;
+        return run(arguments);
+    }
+
+    boost::asio::io_context io;
+    FakeStore fakeStore;
+    ConfigurationStore store;
+    std::ostringstream out;
+    std::ostringstream err;
+};
+
+BOOST_FIXTURE_TEST_CASE(TheFirstConfigurationHasRevisionOne, Fixture)
+{
+    StoredConfiguration before = read();
+    BOOST_TEST(before.modRevision == 0);
+    CommitReport report = store.commit(before, makeConfiguration(16));
+    BOOST_TEST((report.outcome == CommitOutcome::Committed));
+    BOOST_TEST(read().configuration.revision == 1);
+    BOOST_TEST(read().configuration.teams[0].upperLimit == 16);
+}
+
+BOOST_FIXTURE_TEST_CASE(EachChangeRaisesTheRevisionByOne, Fixture)
+{
+    store.commit(read(), makeConfiguration(16));
+    Configuration changed = makeConfiguration(17);
+    changed.revision = 77;
+    CommitReport report = store.commit(read(), changed);
+    BOOST_TEST(report.after.revision == 2);
+    BOOST_TEST(read().configuration.revision == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(OfTwoOperatorsTheLoserSeesTheOthersChange, Fixture)
+{
+    store.commit(read(), makeConfiguration(16));
+    ConfigurationStore other(io, settings());
+    StoredConfiguration before = read();
+    StoredConfiguration othersBefore = other.read().value();
+    BOOST_TEST((store.commit(before, makeConfiguration(20)).outcome == CommitOutcome::Committed));
+    CommitReport lost = other.commit(othersBefore, makeConfiguration(30));
+    BOOST_TEST((lost.outcome == CommitOutcome::Conflict));
+    BOOST_TEST_REQUIRE(lost.now.has_value());
+    BOOST_TEST(diffConfigurations(lost.before, *lost.now) == Lines { "~ team archive upper_limit: 16 -> 20" }, boost::test_tools::per_element());
+    BOOST_TEST(read().configuration.teams[0].upperLimit == 20);
+}
+
+BOOST_FIXTURE_TEST_CASE(TwoFirstConfigurationsDontOverwriteEachOther, Fixture)
+{
+    StoredConfiguration before = read();
+    putDirectly(20, 1);
+    BOOST_TEST((store.commit(before, makeConfiguration(30)).outcome == CommitOutcome::Conflict));
+    BOOST_TEST(read().configuration.teams[0].upperLimit == 20);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALostAnswerIsReadBack, Fixture)
+{
+    store.commit(read(), makeConfiguration(16));
+    StoredConfiguration before = read();
+    StoreRevision revision = fakeStore.model().revision();
+    fakeStore.loseAnswers(1);
+    CommitReport report = store.commit(before, makeConfiguration(20));
+    BOOST_TEST((report.outcome == CommitOutcome::Committed));
+    BOOST_TEST(read().configuration.revision == 2);
+    // Written once, not twice.
+    BOOST_TEST(fakeStore.model().revision() == revision + 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(AChangeUnderALostAnswerIsMadeOnce, Fixture)
+{
+    store.commit(read(), makeConfiguration(16));
+    fakeStore.loseAnswers(1);
+    KeyHash key { "archive-2", "ef", kHash };
+    Result<CommitReport> report = store.change([&](const Configuration& configuration, bool) { return addKey(configuration, TeamId("archive"), key); });
+    BOOST_TEST_REQUIRE(report.has_value());
+    BOOST_TEST((report.value().outcome == CommitOutcome::Committed));
+    BOOST_TEST(read().configuration.revision == 2);
+    BOOST_TEST(read().configuration.teams[0].keys.size() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(ACommutingChangeIsMadeOnTopOfTheOthers, Fixture)
+{
+    store.commit(read(), makeConfiguration(16));
+    int calls = 0;
+    Result<CommitReport> report = store.change([&](const Configuration& configuration, bool) {
+        // The other operator is quicker, the first time.
+        if (calls++ == 0)
+            putDirectly(20, 2);
+        return takeDomainOut(configuration, FailureDomainId("kumasi-2"), "mains work");
+    });
+    BOOST_TEST_REQUIRE(report.has_value());
+    BOOST_TEST((report.value().outcome == CommitOutcome::Committed));
+    BOOST_TEST(calls == 2);
+    Configuration now = read().configuration;
+    BOOST_TEST(now.revision == 3);
+    BOOST_TEST(now.teams[0].upperLimit == 20);
+    BOOST_TEST(now.isDomainOut(FailureDomainId("kumasi-2")));
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatMayHaveTakenEffectIsNeverCalledFailed, Fixture)
+{
+    store.commit(read(), makeConfiguration(16));
+    StoredConfiguration before = read();
+    StoreClientSettings hasty = settings();
+    hasty.timeout = std::chrono::milliseconds(100);
+    ConfigurationStore impatient(io, hasty);
+    fakeStore.setFrozen(true);
+    CommitReport report = impatient.commit(before, makeConfiguration(20));
+    BOOST_TEST((report.outcome == CommitOutcome::Unknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(AChangeThatChangesNothingWritesNothing, Fixture)
+{
+    store.commit(read(), makeConfiguration(16));
+    StoreRevision revision = fakeStore.model().revision();
+    Result<CommitReport> report = store.change([](const Configuration& configuration, bool) -> Result<Configuration> { return configuration; });
+    BOOST_TEST_REQUIRE(report.has_value());
+    BOOST_TEST((report.value().outcome == CommitOutcome::Committed));
+    BOOST_TEST(fakeStore.model().revision() == revision);
+}
+
+BOOST_AUTO_TEST_CASE(ANewKeyOpensItsTeamOnly)
+{
+    Result<NewKey> key = makeKey(TeamId("archive"));
+    BOOST_TEST_REQUIRE(key.has_value());
+    std::size_t dot = key.value().text.find('.');
+    BOOST_TEST(key.value().text.substr(0, dot) == key.value().hash.id);
+    BOOST_TEST(key.value().text.size() - dot - 1 == 64);
+    Configuration configuration = addKey(makeConfiguration(16), TeamId("archive"), key.value().hash).value();
+    BOOST_TEST(authenticate(configuration, key.value().text)->value() == "archive");
+    BOOST_TEST(encodeConfiguration(configuration).find(key.value().text.substr(dot + 1)) == std::string::npos);
+    BOOST_TEST(makeKey(TeamId("archive")).value().text != key.value().text);
+}
+
+BOOST_AUTO_TEST_CASE(AKeyOfATeamWithADottedNameStillWorks)
+{
+    TeamId team("archive.north");
+    Configuration configuration;
+    configuration.teams.push_back({ team, 1, 16, {} });
+    NewKey key = makeKey(team).value();
+    configuration = addKey(configuration, team, key.hash).value();
+    BOOST_TEST(authenticate(configuration, key.text)->value() == "archive.north");
+}
+
+BOOST_AUTO_TEST_CASE(ChangesOfWhatIsNotThereAreRefused)
+{
+    Configuration configuration = makeConfiguration(16);
+    BOOST_TEST(addKey(configuration, TeamId("nobody"), {}).has_error());
+    BOOST_TEST(withdrawKey(configuration, TeamId("nobody"), "archive-1", false).has_error());
+    BOOST_TEST(withdrawKey(configuration, TeamId("archive"), "archive-2", false).has_error());
+    BOOST_TEST(takeDomainIn(configuration, FailureDomainId("kumasi-1"), false).has_error());
+    BOOST_TEST((withdrawKey(configuration, TeamId("archive"), "archive-2", true).value() == configuration));
+    BOOST_TEST(withdrawKey(configuration, TeamId("archive"), "archive-1", false).value().teams[0].keys.empty());
+}
+
+// The commands
+
+static std::string fileText(int upperLimit) { return formatConfigurationFile(makeConfiguration(upperLimit)); }
+
+BOOST_FIXTURE_TEST_CASE(ApplyPutsTheFileIntoTheStoreOnce, Fixture)
+{
+    TemporaryFile file(fileText(16));
+    BOOST_TEST(run("apply", { file.path }) == ExitOk);
+    BOOST_TEST(read().configuration.revision == 1);
+    BOOST_TEST(run("apply", { file.path }) == ExitOk);
+    BOOST_TEST(out.str() == "no change to revision 1\n");
+    BOOST_TEST(read().configuration.revision == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnInvalidFileChangesNothing, Fixture)
+{
+    TemporaryFile file("teams:\n  - {id: archive, upper_limit: none}\n");
+    TemporaryFile tooFine("defaults: {urgent_deadline: 1500us}\n");
+    for (const char* command : { "validate", "diff", "apply" }) {
+        BOOST_TEST(run(command, { file.path }) == ExitInvalidFile);
+        BOOST_TEST(err.str().find("upper_limit") != std::string::npos);
+        BOOST_TEST(run(command, { tooFine.path }) == ExitInvalidFile);
+        BOOST_TEST(run(command, { "/nowhere/configuration.yaml" }) == ExitInvalidFile);
+    }
+    BOOST_TEST(read().modRevision == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(ApplyShowsTheOtherOperatorsChangeAndKeepsIt, Fixture)
+{
+    putDirectly(16, 1);
+    TemporaryFile file(fileText(30));
+    // Between the command's read and its transaction, both of which go over the network.
+    std::uint64_t calls = fakeStore.calls();
+    std::function<void()> interfere = [&] {
+        if (fakeStore.calls() == calls)
+            boost::asio::post(io, interfere);
+        else
+            putDirectly(20, 2);
+    };
+    boost::asio::post(io, interfere);
+    BOOST_TEST(run("apply", { file.path }) == ExitConflict);
+    BOOST_TEST(err.str().find("~ team archive upper_limit: 16 -> 20\n") != std::string::npos);
+    BOOST_TEST(read().configuration.teams[0].upperLimit == 20);
+    BOOST_TEST(read().configuration.revision == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(DiffShowsAndChangesNothing, Fixture)
+{
+    putDirectly(16, 1);
+    TemporaryFile file(fileText(30));
+    StoreRevision revision = fakeStore.model().revision();
+    BOOST_TEST(run("diff", { file.path }) == ExitOk);
+    BOOST_TEST(out.str() == "~ team archive upper_limit: 16 -> 30\n");
+    BOOST_TEST(fakeStore.model().revision() == revision);
+}
+
+BOOST_FIXTURE_TEST_CASE(KeysAreMadeListedAndWithdrawn, Fixture)
+{
+    putDirectly(16, 1);
+    BOOST_TEST(run("key new", { "archive" }) == ExitOk);
+    std::string id = read().configuration.teams[0].keys[1].id;
+    BOOST_TEST(out.str().find(id + ".") != std::string::npos);
+    BOOST_TEST(run("key list", {}) == ExitOk);
+    BOOST_TEST(out.str() == "archive archive-1\narchive " + id + "\n");
+    BOOST_TEST(run("key withdraw", { "archive", "archive-1" }) == ExitOk);
+    BOOST_TEST(run("key withdraw", { "archive", "archive-1" }) == ExitRefused);
+    BOOST_TEST(run("key new", { "nobody" }) == ExitRefused);
+    BOOST_TEST(out.str().empty());
+    BOOST_TEST(run("key list", {}) == ExitOk);
+    BOOST_TEST(out.str() == "archive " + id + "\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(ADomainGoesOutAndIn, Fixture)
+{
+    putDirectly(16, 1);
+    Arguments arguments;
+    arguments.command = "domain out";
+    arguments.operands = { "kumasi-2" };
+    arguments.reason = "mains work";
+    BOOST_TEST(run(arguments) == ExitOk);
+    BOOST_TEST(read().configuration.domainsOut[0].reason == "mains work");
+    BOOST_TEST(run("domain in", { "kumasi-2" }) == ExitOk);
+    BOOST_TEST(read().configuration.domainsOut.empty());
+    BOOST_TEST(run("domain in", { "kumasi-2" }) == ExitRefused);
+}
+
+BOOST_FIXTURE_TEST_CASE(JsonOutputIsOneDocument, Fixture)
+{
+    putDirectly(16, 1);
+    Arguments arguments;
+    arguments.asJson = true;
+    arguments.command = "key new";
+    arguments.operands = { "archive" };
+    BOOST_TEST(run(arguments) == ExitOk);
+    nlohmann::json value = nlohmann::json::parse(out.str(), nullptr, false);
+    BOOST_TEST_REQUIRE(value.is_object());
+    BOOST_TEST(value["outcome"] == "committed");
+    BOOST_TEST(value["revision"] == 2);
+    BOOST_TEST(authenticate(read().configuration, value["key"].get<std::string>())->value() == "archive");
+}
+
+// Waiting for the fleet
+
+static std::string statusText(const std::string& self, std::uint64_t revision, const std::map<std::string, std::uint64_t>& members)
+{
+    nlohmann::json value { { "instance", self }, { "domain", "kumasi-1" }, { "configuration_revision", revision },
+        { "jobs_here", 0 }, { "ready", true }, { "shards", nlohmann::json::array() }, { "domains_out", nlohmann::json::array() },
+        { "upstreams", { { "listed", 3 }, { "quarantined_here", 1 } } }, { "members", nlohmann::json::array() } };
+    for (const auto& [id, reached] : members)
+        value["members"].push_back({ { "instance", id }, { "configuration_revision", reached } });
+    return value.dump();
+}
+
+BOOST_AUTO_TEST_CASE(TheNewestViewOfEachMemberCounts)
+{
+    InstanceStatus a = parseInstanceStatus("", statusText("a1", 5, { { "a1", 3 }, { "a2", 4 }, { "a3", 4 } })).value();
+    InstanceStatus b = parseInstanceStatus("", statusText("a2", 5, { { "a1", 4 }, { "a3", 3 } })).value();
+    BOOST_TEST(findBehind({ a, b }, 5) == Lines { "a3 (revision 4)" }, boost::test_tools::per_element());
+    BOOST_TEST(findBehind({ a, b }, 4).empty());
+    BOOST_TEST(a.upstreamsQuarantined == 1);
+    BOOST_TEST(parseInstanceStatus("", "{}").has_error());
+    BOOST_TEST(parseInstanceStatus("", "none").has_error());
+}
+
+struct WaitFixture : Fixture {
+    WaitFixture()
+        : entry(io, "127.0.0.1", 0)
+        , file(fileText(16))
+    {
+        entry.route("GET", "/status", [this](const ExchangePtr& exchange) {
+            ++asked;
+            exchange->reply(200, statusText("a1", 1, { { "a2", asked >= reachedAt ? 1U : 0U } }));
+        });
+    }
+
+    ExitCode applyAndWait(int seconds)
+    {
+        Arguments arguments;
+        arguments.command = "apply";
+        arguments.operands = { file.path };
+        arguments.entries = { entry.endpoint() };
+        arguments.wait = std::chrono::seconds(seconds);
+        return run(arguments);
+    }
+
+    HttpFake entry;
+    TemporaryFile file;
+    int asked { 0 };
+    int reachedAt { 3 };
+};
+
+BOOST_FIXTURE_TEST_CASE(WaitEndsOnceAllMembersHaveTheRevision, WaitFixture)
+{
+    BOOST_TEST(applyAndWait(60) == ExitOk);
+    BOOST_TEST(asked == 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(WaitNamesThoseThatAreBehind, WaitFixture)
+{
+    reachedAt = 1000000;
+    BOOST_TEST(applyAndWait(0) == ExitNotInForce);
+    BOOST_TEST(err.str().find("a2 (revision 0)") != std::string::npos);
+    BOOST_TEST(read().configuration.revision == 1);
+}
+
+// Jobs
+
+struct JobFixture : Fixture {
+    JobFixture()
+        : entry(io, "127.0.0.1", 0)
+    {
+    }
+
+    void answer(const std::string& method, const std::string& path, int status, const std::string& body)
+    {
+        entry.route(method, path, [this, status, body](const ExchangePtr& exchange) {
+            lastBody = exchange->request().body;
+            if (drops-- > 0)
+                exchange->drop();
+            else
+                exchange->reply(status, body);
+        });
+    }
+
+    ExitCode runJob(const std::string& command)
+    {
+        Arguments arguments;
+        arguments.command = command;
+        arguments.operands = { "abc" };
+        arguments.entries = { entry.endpoint() };
+        arguments.key = "archive-1.secret";
+        arguments.id = "plan-1";
+        arguments.service = "refit";
+        arguments.kind = "batch";
+        arguments.body = "collar 9";
+        return run(arguments);
+    }
+
+    HttpFake entry;
+    std::string lastBody;
+    int drops { 0 };
+};
+
+BOOST_FIXTURE_TEST_CASE(SubmitIsSentAgainAfterALostAnswer, JobFixture)
+{
+    answer("POST", "/v1/jobs", 202, R"({"job":"abc","outcome":"accepted","state":"queued"})");
+    drops = 1;
+    BOOST_TEST(runJob("submit") == ExitOk);
+    BOOST_TEST(out.str() == "job: abc\noutcome: accepted\nstate: queued\n");
+    nlohmann::json sent = nlohmann::json::parse(lastBody);
+    BOOST_TEST(sent["id"] == "plan-1");
+    BOOST_TEST(sent["body_base64"] == "Y29sbGFyIDk=");
+}
+
+BOOST_FIXTURE_TEST_CASE(ASubmitWithoutAnyAnswerIsNotCalledFailed, JobFixture)
+{
+    answer("POST", "/v1/jobs", 202, "{}");
+    drops = 1000;
+    BOOST_TEST(runJob("submit") == ExitUnknown);
+    BOOST_TEST(err.str().find("may have taken effect") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARefusalShowsItsReason, JobFixture)
+{
+    answer("POST", "/v1/jobs", 429, R"({"outcome":"not_run","reason":"queue_full","message":"full","job":"","retry_after_ms":1000})");
+    BOOST_TEST(runJob("submit") == ExitRefused);
+    BOOST_TEST(err.str().find("reason: queue_full") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(AResultIsPassedOnByteForByte, JobFixture)
+{
+    std::string bytes("a\0b\n", 4);
+    answer("GET", "/v1/jobs/abc/result", 200, bytes);
+    answer("GET", "/v1/jobs/abc", 200, R"({"job":"abc","state":"failed"})");
+    BOOST_TEST(runJob("result") == ExitRefused);
+    BOOST_TEST((out.str() == bytes));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUnknownOutcomeHasItsOwnExitCode, JobFixture)
+{
+    answer("GET", "/v1/jobs/abc/result", 504, R"({"job":"abc","state":"outcome_unknown"})");
+    BOOST_TEST(runJob("result") == ExitUnknown);
+}
+
+// The command line
+
+static ExitCode usageOf(const std::vector<std::string>& words) { return parseArguments(words, "0").exitCode; }
+
+BOOST_AUTO_TEST_CASE(WrongUsageIsRefused)
+{
+    BOOST_TEST(usageOf({}) == ExitUsage);
+    BOOST_TEST(usageOf({ "bogus" }) == ExitUsage);
+    BOOST_TEST(usageOf({ "key" }) == ExitUsage);
+    BOOST_TEST(usageOf({ "apply", "f.yaml" }) == ExitUsage);
+    BOOST_TEST(usageOf({ "apply", "f.yaml", "--store", "127.0.0.1:1", "--wait" }) == ExitUsage);
+    BOOST_TEST(usageOf({ "domain", "out", "kumasi-1", "--store", "127.0.0.1:1" }) == ExitUsage);
+    BOOST_TEST(usageOf({ "get", "abc", "--entry", "127.0.0.1:1", "--key", "a.b\r\nX: y" }) == ExitUsage);
+    BOOST_TEST(usageOf({ "submit", "--id", "a", "--service", "s", "--kind", "urgent", "--key", "a.b", "--entry", "127.0.0.1:1" }) == ExitUsage);
+}
+
+BOOST_AUTO_TEST_CASE(WaitTakesANumberOrNone)
+{
+    std::vector<std::string> words { "apply", "f.yaml", "--store", "127.0.0.1:1", "--entry", "127.0.0.1:2", "--wait" };
+    ParsedArguments parsed = parseArguments(words, "0");
+    BOOST_TEST_REQUIRE(parsed.arguments.has_value());
+    BOOST_TEST(parsed.arguments->wait->count() == 30);
+    words.emplace_back("7");
+    parsed = parseArguments(words, "0");
+    BOOST_TEST_REQUIRE(parsed.arguments.has_value());
+    BOOST_TEST(parsed.arguments->wait->count() == 7);
+    BOOST_TEST(parsed.arguments->operands[0] == "f.yaml");
+    BOOST_TEST(parsed.arguments->stores[0] == "127.0.0.1:1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
