Weigh all teams in one pass, and not at all when nobody has room

Cause: each tick of a dispatching instance asked for every waiting team's share singly, a search through teams and heartbeats each time. Still linear in teams times instances, and only paid when some owner reports room.

--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -182,8 +182,9 @@
 {
     Cell cell(48, static_cast<int>(bench.range(0)));
     for (auto _ : bench) {
+        std::map<TeamId, double> shares = dominantShares(cell.state, cell.now);
         for (const auto& [team, standing] : cell.state.escrow.standings)
-            benchmark::DoNotOptimize(dominantShare(cell.state, team, cell.now));
+            benchmark::DoNotOptimize(shares[team]);
     }
 }
 
--- a/src/core/JobDispatch.cpp
+++ b/src/core/JobDispatch.cpp
@@ -210,10 +210,11 @@
 static std::set<Candidate> candidateTeams(const CoreState& state, TimePoint now)
 {
     std::set<Candidate> candidates;
+    std::map<TeamId, double> shares = dominantShares(state, now);
     for (const auto& [team, jobs] : state.jobSchedule.waiting) {
         auto it = state.jobSchedule.teamNotBefore.find(team);
         if (it == state.jobSchedule.teamNotBefore.end() || now >= it->second)
-            candidates.insert({ dominantShare(state, team, now), team });
+            candidates.insert({ shares[team], team });
     }
     return candidates;
 }
@@ -251,9 +252,17 @@
     return nullptr;
 }
 
+static bool hasAnyRoom(const CoreState& state, TimePoint now)
+{
+    constexpr Resources kOneSlot { 0, 0, 0, 1 };
+    return std::any_of(state.members.begin(), state.members.end(),
+        [&](const MemberTable::value_type& entry) { return mayTake(state, entry.second, kOneSlot, now); });
+}
+
 void runDispatch(CoreState& state, const Instant& now, Actions& actions)
 {
-    if (state.jobSchedule.waiting.empty())
+    // When all is full there is nothing to order the teams for.
+    if (state.jobSchedule.waiting.empty() || !hasAnyRoom(state, now.steady))
         return;
     std::set<Candidate> candidates = candidateTeams(state, now.steady);
     Resources capacity = cellCapacity(state);
--- a/src/core/Shares.cpp
+++ b/src/core/Shares.cpp
@@ -34,6 +34,29 @@
     return dominantFraction(used, capacity) / shareWeight(state, team);
 }
 
+std::map<TeamId, double> dominantShares(const CoreState& state, TimePoint now)
+{
+    Resources capacity { 0, 0, 0, 0 };
+    std::map<TeamId, Resources> used;
+    for (const auto& [id, member] : state.members) {
+        if (!isPeerUp(state, id, now))
+            continue;
+        capacity = capacity + member.heartbeat.capacity;
+        for (const TeamUsage& usage : member.heartbeat.teams) {
+            Resources& sum = used.emplace(usage.team, Resources { 0, 0, 0, 0 }).first->second;
+            sum = sum + usage.used;
+        }
+    }
+    std::map<TeamId, double> shares;
+    for (const auto& [team, sum] : used)
+        shares[team] = dominantFraction(sum, capacity);
+    for (const Team& team : state.configuration.current->teams) {
+        if (team.shareWeight > 0)
+            shares[team.id] /= team.shareWeight;
+    }
+    return shares;
+}
+
 int runningFleetWide(const CoreState& state, const TeamId& team)
 {
     int n = 0;
