--- a/specs/escrow.pml
+++ b/specs/escrow.pml
@@ -15,7 +15,15 @@
 #ifndef TASKS
 #define TASKS 3
 #endif
+#ifndef LIMIT
 #define LIMIT 2
+#endif
+#ifndef SECOND_OWNER
+#define SECOND_OWNER 1 /* of shard 1 at the start; session 0 has shard 0 */
+#endif
+#ifndef LIVE_SESSIONS
+#define LIVE_SESSIONS SESSIONS /* at the start; NEVER_LOWERS bounds the search as well */
+#endif
 #ifndef DEATHS
 #define DEATHS 2
 #endif
@@ -143,7 +151,7 @@
     :: atomic { live[s] && !raising[s] && HAS_ROOM(s) && grant[s] > 0 ->
         grant[s]--;
         recordChanged() }
-#else
+#elif !defined(NEVER_LOWERS)
     :: atomic { live[s] && !raising[s] && HAS_ROOM(s) && toLower[s] == 0 ->
         granted[s]--;
         toLower[s]++ }
@@ -191,9 +199,31 @@
 #define IDLE(shard) (!ON_IT(0, shard) && !ON_IT(1, shard) && !ON_IT(2, shard))
 #endif
 
+/* Tasks of earlier epochs: those that it has started itself are charged already. */
+#define ADOPTED_ON(s, n, shard) (ROW_ON(s, n, shard) && startedAt[n] < ownedAt[AT(s, shard)])
+#if TASKS > 3
+#define ADOPTED(s, shard) (ADOPTED_ON(s, 0, shard) + ADOPTED_ON(s, 1, shard) + ADOPTED_ON(s, 2, shard) + ADOPTED_ON(s, 3, shard))
+#else
+#define ADOPTED(s, shard) (ADOPTED_ON(s, 0, shard) + ADOPTED_ON(s, 1, shard) + ADOPTED_ON(s, 2, shard))
+#endif
+
+/* The earliest session gives first, the others what it lacks. */
+inline takeFrom(s, shard, d)
+{
+    if
+    :: moved > 0 && (unsettledFrom[shard] & (1 << d)) && grant[d] > 0 ->
+        taken = (moved > grant[d] -> grant[d] : moved);
+        grant[d] = grant[d] - taken;
+        grant[s] = grant[s] + taken;
+        moved = moved - taken;
+        taken = 0
+    :: else
+    fi
+}
+
 inline settle(s, shard)
 {
-    moved = ROWS_ON(s, shard);
+    moved = ADOPTED(s, shard);
 #ifdef MOVE_FROM_LAST
     from = lastOwner[shard];
 #else
@@ -203,9 +233,17 @@
 #ifdef MOVE_FROM_LAST
     moved = (moved > grant[from] -> grant[from] : moved);
 #endif
+#ifdef START_BEFORE_SETTLED
+    takeFrom(s, shard, from);
+    takeFrom(s, shard, 0);
+    takeFrom(s, shard, 1);
+    takeFrom(s, shard, 2);
+    takeFrom(s, shard, 3);
+#else
     assert(grant[from] >= moved);
     grant[from] = grant[from] - moved;
     grant[s] = grant[s] + moved;
+#endif
 #endif
     unsettledFrom[shard] = 0;
     firstUnsettled[shard] = 0;
@@ -232,6 +270,7 @@
 proctype Owner(byte s; byte shard)
 {
     byte moved;
+    byte taken;
     byte from;
 end:
     do
@@ -282,7 +321,13 @@
     od
 }
 
-#define MAY_START(s, shard) (ownedAt[AT(s, shard)] > 0 && settled[AT(s, shard)] && VALID(s) && HAS_ROOM(s))
+/* An upstream takes work as soon as it is fenced, before its shard has settled. */
+#ifdef START_BEFORE_SETTLED
+#define TAKES_WORK(s, shard) (settled[AT(s, shard)] || highest[shard] == ownedAt[AT(s, shard)])
+#else
+#define TAKES_WORK(s, shard) settled[AT(s, shard)]
+#endif
+#define MAY_START(s, shard) (ownedAt[AT(s, shard)] > 0 && TAKES_WORK(s, shard) && VALID(s) && HAS_ROOM(s))
 
 inline start(n, s, shard)
 {
@@ -368,23 +413,23 @@
 {
     atomic {
         byte s;
-        for (s : 0 .. SESSIONS - 1) {
+        for (s : 0 .. LIVE_SESSIONS - 1) {
             live[s] = 1
         };
         ownerOf[0] = 0;
-        ownerOf[1] = 1;
+        ownerOf[1] = SECOND_OWNER;
         ownedAt[AT(0, 0)] = 1;
-        ownedAt[AT(1, 1)] = 1;
+        ownedAt[AT(SECOND_OWNER, 1)] = 1;
         settled[AT(0, 0)] = 1;
-        settled[AT(1, 1)] = 1;
+        settled[AT(SECOND_OWNER, 1)] = 1;
         epochOf[0] = 1;
         epochOf[1] = 1;
         highest[0] = 1;
         highest[1] = 1;
-        grant[0] = 1;
-        grant[1] = 1;
-        granted[0] = 1;
-        granted[1] = 1;
+        grant[0]++;
+        grant[SECOND_OWNER]++;
+        granted[0]++;
+        granted[SECOND_OWNER]++;
         for (s : 0 .. TASKS - 1) {
             rowOf[s] = NOBODY
         };
