--- a/tests/support/Cell.cpp
+++ b/tests/support/Cell.cpp
@@ -460,14 +460,13 @@
     return readHistory(paths);
 }
 
-static std::string tailOf(const std::string& file)
+static std::string tailOf(const std::string& file, std::streamoff length = 3000)
 {
-    constexpr std::streamoff kLength = 3000;
     std::ifstream stream(file, std::ios::ate);
     if (!stream)
         return {};
     std::streamoff size = stream.tellg();
-    stream.seekg(std::max<std::streamoff>(0, size - kLength));
+    stream.seekg(std::max<std::streamoff>(0, size - length));
     std::ostringstream text;
     text << stream.rdbuf();
     return "== " + file + "\n" + text.str() + "\n";
@@ -478,6 +477,7 @@
     std::string text;
     for (const Instance& instance : m_instances)
         text += tailOf(path(instance.name + ".log")) + tailOf(path(instance.name + ".out"));
+    text += tailOf(path("test.events"), 40000);
     return text + tailOf(path("upstreams.events")) + tailOf(path("faultproxy.out")) + tailOf(path("fakestore.out"));
 }
 
