--- a/tests/ControlTest.cpp
+++ b/tests/ControlTest.cpp
@@ -213,6 +213,26 @@
     BOOST_TEST((report.outcome == CommitOutcome::Unknown));
 }
 
+BOOST_FIXTURE_TEST_CASE(AnOverwrittenChangeIsNotCalledAConflict, Fixture)
+{
+    putDirectly(16, 1);
+    StoredConfiguration before = read();
+    StoreRevision revision = fakeStore.model().revision();
+    fakeStore.loseAnswers(1);
+    // Ours takes effect, its answer is lost, and another change is made on top before it is read back.
+    std::function<void()> interfere = [&] {
+        if (fakeStore.model().revision() == revision)
+            boost::asio::post(io, interfere);
+        else
+            putDirectly(30, 3);
+    };
+    boost::asio::post(io, interfere);
+    CommitReport report = store.commit(before, makeConfiguration(20));
+    BOOST_TEST((report.outcome == CommitOutcome::Unknown));
+    BOOST_TEST_REQUIRE(report.now.has_value());
+    BOOST_TEST(report.now->teams[0].upperLimit == 30);
+}
+
 BOOST_FIXTURE_TEST_CASE(AChangeThatChangesNothingWritesNothing, Fixture)
 {
     store.commit(read(), makeConfiguration(16));
