--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -2,9 +2,9 @@
 
 #include <boost/asio/post.hpp>
 #include <csignal>
-#include <sys/resource.h>
 #include <utility>
 
+#include "src/daemon/ProcessUsage.h"
 #include "src/daemon/StatusReport.h"
 #include "src/daemon/SystemClock.h"
 
@@ -267,16 +267,6 @@
     m_logger.write(LogLevel::Warning, error, now.wallMs);
 }
 
-static void setProcessGauges(Counters& counters)
-{
-    constexpr std::int64_t kMicroseconds = 1000000;
-    rusage usage {};
-    getrusage(RUSAGE_SELF, &usage);
-    std::int64_t seconds = usage.ru_utime.tv_sec + usage.ru_stime.tv_sec;
-    counters.set("process_cpu_microseconds_total", seconds * kMicroseconds + usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
-    counters.set("process_maximum_resident_kilobytes", usage.ru_maxrss);
-}
-
 static void setPeerCounters(const PeerTransportCounters& peers, Counters& counters)
 {
     counters.set("peer_messages_sent_total", static_cast<std::int64_t>(peers.messagesSent));
