--- a/tools/crocusload/CallerClient.cpp
+++ b/tools/crocusload/CallerClient.cpp
@@ -37,6 +37,7 @@
     http::response<http::string_body> response;
     std::string address;
     CallerClient::Handler handler;
+    bool connected { false };
     TimePoint idleSince;
 };
 
@@ -127,6 +128,7 @@
     connection->stream.async_connect(endpoint, [this, connection](ErrorCondition connectEc) {
         if (connectEc)
             return complete(connection, connectEc);
+        connection->connected = true;
         connection->stream.socket().set_option(Tcp::no_delay(true), connectEc);
         write(connection);
     });
@@ -152,8 +154,10 @@
 {
     Handler handler = std::move(connection->handler);
     CallerAnswer answer;
+    answer.sent = connection->connected;
     if (!ec) {
-        answer = { static_cast<int>(connection->response.result_int()), std::move(connection->response.body()) };
+        answer.status = static_cast<int>(connection->response.result_int());
+        answer.body = std::move(connection->response.body());
         connection->stream.expires_never();
     }
     if (!ec && connection->response.keep_alive()) {
--- a/tools/crocusload/CallerClient.h
+++ b/tools/crocusload/CallerClient.h
@@ -19,6 +19,7 @@
 struct CallerAnswer {
     int status { 0 }; ///< 0: no whole answer came.
     std::string body;
+    bool sent { true }; ///< False: not connected, so nothing left.
 };
 
 /// The event loop of the load generator: HTTP calls over kept connections, and timers.
--- a/tools/crocusload/LoadRun.cpp
+++ b/tools/crocusload/LoadRun.cpp
@@ -304,11 +304,11 @@
     if (answer.status == kNotFound)
         return end(work, &StreamCounts::lost);
     Json json = parseObject(answer.body);
-    if (answer.status == kGone)
-        return end(work, &StreamCounts::notRun);
-    if (textOf(json, "state") == "outcome_unknown")
-        return end(work, &StreamCounts::unknown);
-    schedulePoll(work);
+    bool isUnknown = textOf(json, "state") == "outcome_unknown";
+    if (answer.status != kGone && !isUnknown)
+        return schedulePoll(work);
+    ++resultOf(*work).reasons[textOf(json, "state") + "/" + textOf(json, "reason")];
+    end(work, isUnknown ? &StreamCounts::unknown : &StreamCounts::notRun);
 }
 
 void LoadRun::endByResult(const WorkPtr& work, const std::string& body)
@@ -320,9 +320,11 @@
 {
     Json json = parseObject(answer.body);
     std::string outcome = textOf(json, "outcome");
-    std::string reason = answer.status == 0 ? "no_answer" : outcome + "/" + textOf(json, "reason");
-    ++resultOf(*work).reasons[reason];
-    if (answer.status == 0 || outcome == "outcome_unknown")
+    if (answer.status == 0)
+        outcome = answer.sent ? "outcome_unknown" : "not_run";
+    std::string reason = answer.status == 0 ? (answer.sent ? "no_answer" : "not_connected") : textOf(json, "reason");
+    ++resultOf(*work).reasons[outcome + "/" + reason];
+    if (outcome == "outcome_unknown")
         return end(work, &StreamCounts::unknown);
     end(work, outcome == "not_run" ? &StreamCounts::notRun : &StreamCounts::invalid);
 }
