Mend three faults that the specification and the history checker found

Starts while a shard settles (added with the sync intervals) are taken back: with two deaths in a row the grants moved need not be those of what runs, and a team could run one more than its limit (specs/escrow.pml, START_BEFORE_SETTLED). Ruled out: moving what is left over between sessions, which isn't exact either. An attempt is said to be gone only when the upstream itself answers that it is in another life. A remembered life may be over for an owner that acts beside its successor during an outage of the store (specs/job.pml, GONE_FROM_MEMORY). Questions and cancellations are never answered 'not run': the job may well have run.

--- a/include/crocuslever/AttemptTable.h
+++ b/include/crocuslever/AttemptTable.h
@@ -46,7 +46,6 @@
     Epoch epoch { 0 };
     AttemptPhase phase { AttemptPhase::Reserved };
     Resources charged { 0, 0, 0, 0 }; ///< What it holds of the upstream.
-    bool adopted { false }; ///< Started by an earlier owner, against another session's grants.
     bool holdsRoom { false }; ///< Charged to its upstream and its team.
     bool startInDoubt { false }; ///< Starting, and the start's answer was lost.
     std::string service; ///< Handler at the upstream; empty when adopted by a fence.
--- a/src/core/Calls.cpp
+++ b/src/core/Calls.cpp
@@ -168,6 +168,10 @@
     std::optional<CallerReply> refusal = refuseAtOnce(state, call, now.steady);
     if (refusal) {
         state.counters.add(std::string("calls_refused_total{reason=\"") + toString(refusal->reason) + "\"}");
+        // A question or a cancellation is about a job that may well have run.
+        bool startsWork = std::holds_alternative<UrgentRequest>(call.request) || std::holds_alternative<JobSubmission>(call.request);
+        if (!startsWork)
+            refusal->outcome = CallOutcome::Unknown;
         actions.push_back(std::move(*refusal));
         return;
     }
@@ -208,16 +212,19 @@
     row.lastReason = answer.reply.reason;
 }
 
-static bool changesNothing(const CallRow& row)
+/// True if the call would have started work, and no owner can have taken it.
+static bool hasSurelyNotRun(const CallRow& row)
 {
-    return std::holds_alternative<JobQuery>(row.job->request) || row.unanswered <= 0 || !isOn(Guard::HonestRefusal);
+    if (!isOn(Guard::HonestRefusal))
+        return true;
+    return std::holds_alternative<JobSubmission>(row.job->request) && row.unanswered <= 0;
 }
 
 static void expireJobCall(CoreState& state, const CallRow& row, Actions& actions)
 {
-    CallerReply reply = changesNothing(row)
+    CallerReply reply = hasSurelyNotRun(row)
         ? makeReply(row.id, CallOutcome::NotRun, RefusalReason::NoOwner, "the owner of the job's shard can't be reached")
-        : makeReply(row.id, CallOutcome::Unknown, RefusalReason::None, "no answer yet; ask again under the same id");
+        : makeReply(row.id, CallOutcome::Unknown, RefusalReason::None, "no answer yet; ask again");
     reply.job = row.jobId;
     finishCall(state, row.id, std::move(reply), actions);
 }
--- a/src/core/Ownership.cpp
+++ b/src/core/Ownership.cpp
@@ -234,7 +234,7 @@
 {
     ShardRow& row = state.shards[shard];
     OwnershipRecord record = row.record;
-    GrantRecord grants = moveGrants(state.escrow.grants, record.unsettledFrom, state.session.id, adoptedByTeam(state, shard));
+    GrantRecord grants = moveGrants(state.escrow.grants, record.unsettledFrom, state.session.id, runningByTeam(state, shard));
     record.unsettledFrom.clear();
     StoreTransaction transaction;
     transaction.compares.push_back({ ownerKey(shard), row.modRevision });
--- a/src/core/Reservations.cpp
+++ b/src/core/Reservations.cpp
@@ -169,9 +169,9 @@
     auto it = state.upstreams.find(query.upstream);
     if (it == state.upstreams.end() || !mayCall(state, it->second, now))
         return;
-    if (it->second.incarnation != query.incarnation)
-        reportUnknown(state, from, query, true, actions);
-    else if (query.stop)
+    // That the remembered life is another says nothing: while the store is down this
+    // owner may be acting beside its successor, and remember a life that is over.
+    if (query.stop || it->second.incarnation != query.incarnation)
         stopAttempt(state, addUnknownAttempt(state, query, now), StopMode::Stop, now, actions);
     else
         reportUnknown(state, from, query, false, actions);
--- a/src/core/UpstreamAnswers.cpp
+++ b/src/core/UpstreamAnswers.cpp
@@ -60,7 +60,6 @@
     attempt.incarnation = row.incarnation;
     attempt.shard = row.shard;
     attempt.epoch = row.fencedEpoch;
-    attempt.adopted = true;
     return attempt;
 }
 
@@ -397,8 +396,12 @@
         noteStaleEpoch(state, row, actions);
         break;
     case UpstreamOutcome::WrongIncarnation:
-        // The fence that follows accounts for it.
-        noteRestart(state, row, now, actions);
+        // The upstream itself says that the attempt's life is over. Where the present
+        // one isn't known either, the fence that follows accounts for the others.
+        if (attempt.incarnation == row.incarnation)
+            noteRestart(state, row, now, actions);
+        else
+            loseAttempt(state, attempt, now, actions);
         return;
     case UpstreamOutcome::Refused:
         // It can't checkpoint: stop it without. Sent again when the attempt wakes.
--- a/src/core/Upstreams.cpp
+++ b/src/core/Upstreams.cpp
@@ -138,18 +138,13 @@
     return isFenced(state, row) && isHeld(state, row.shard) && mayActOn(state, row.shard, now);
 }
 
-/// A fenced upstream takes work while the shard's others still wait for their
-/// fence: one that is out of reach must not hold up its neighbours.
-static bool takesWork(ShardPhase phase)
-{
-    return phase == ShardPhase::Owned || phase == ShardPhase::Settling;
-}
-
 bool isInService(const CoreState& state, const UpstreamRow& row, TimePoint now)
 {
     if (!row.listed || !row.reachable || (row.description.leaving && isOn(Guard::LeavingCheck)))
         return false;
-    if (!takesWork(state.shards[row.shard].phase) || !mayCall(state, row, now))
+    // Not while the shard settles: grants can be moved exactly only if no owner
+    // that hasn't settled has started anything there (specs/escrow.pml).
+    if (state.shards[row.shard].phase != ShardPhase::Owned || !mayCall(state, row, now))
         return false;
     return !state.configuration.current->isDomainOut(row.description.domain) || !isOn(Guard::DomainCheck);
 }
@@ -191,24 +186,11 @@
     return running;
 }
 
-std::map<TeamId, int> adoptedByTeam(const CoreState& state, ShardIndex shard)
-{
-    std::map<TeamId, int> adopted;
-    for (const UpstreamId& upstream : state.upstreams.byShard[shard]) {
-        for (const AttemptId& id : attemptsOn(state, upstream)) {
-            const AttemptRow& row = state.attempts.at(id);
-            if (row.holdsRoom && row.adopted)
-                ++adopted[row.team];
-        }
-    }
-    return adopted;
-}
-
 Resources freeRoom(const CoreState& state, bool urgent, TimePoint now)
 {
     Resources sum { 0, 0, 0, 0 };
     for (ShardIndex shard = 0; shard < kShardCount; ++shard) {
-        if (!takesWork(state.shards[shard].phase))
+        if (state.shards[shard].phase != ShardPhase::Owned)
             continue;
         for (const UpstreamId& id : state.upstreams.byShard[shard]) {
             const UpstreamRow& row = state.upstreams.at(id);
--- a/src/core/Upstreams.h
+++ b/src/core/Upstreams.h
@@ -31,8 +31,6 @@
 bool isShardFenced(const CoreState&, ShardIndex, TimePoint now);
 /// Attempts that run on the shard's upstreams, by team.
 std::map<TeamId, int> runningByTeam(const CoreState&, ShardIndex);
-/// The same, but only those that an earlier owner had started.
-std::map<TeamId, int> adoptedByTeam(const CoreState&, ShardIndex);
 
 /// True if new work may start there now: owned, fenced, listed, not leaving, in
 /// good health, and its failure domain in service.
