--- a/src/control/TextFile.cpp
+++ b/src/control/TextFile.cpp
@@ -1,20 +1,22 @@
 #include "src/control/TextFile.h"
 
 #include <fstream>
-#include <sstream>
+#include <iterator>
 
 namespace crocuslever {
 
 Result<std::string> readTextFile(const std::string& path)
 {
+    const Error error { ErrorCode::NotFound, "file.read", path, "can't be read" };
     std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    if (file)
-        text << file.rdbuf();
-    // An empty file makes the insertion fail, which is no fault.
-    if (!file.is_open() || file.bad() || (text.fail() && file.peek() != std::ifstream::traits_type::eof()))
-        return Error { ErrorCode::NotFound, "file.read", path, "can't be read" };
-    return text.str();
+    if (!file.is_open())
+        return error;
+    // A directory can be opened, and throws when it is read.
+    try {
+        return std::string { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    } catch (const std::ios_base::failure&) {
+        return error;
+    }
 }
 
 } // namespace crocuslever
--- a/tests/ControlTest.cpp
+++ b/tests/ControlTest.cpp
@@ -300,6 +300,8 @@
         BOOST_TEST(err.str().find("upper_limit") != std::string::npos);
         BOOST_TEST(run(command, { tooFine.path }) == ExitInvalidFile);
         BOOST_TEST(run(command, { "/nowhere/configuration.yaml" }) == ExitInvalidFile);
+        BOOST_TEST(run(command, { "/tmp" }) == ExitInvalidFile);
+        BOOST_TEST(err.str() == "file.read (/tmp): can't be read\n");
     }
     BOOST_TEST(read().modRevision == 0);
 }
