Stop without cutting urgent requests; spread shards evenly; ask where grants are

Peers never heard 'shutting down', since the stop took 100 ms and heartbeats come every 250 ms; and the lease's return never left the process, so that the session stood until it lapsed. Further: rendezvous hashing bounded by the even part (5 to 15 of 64 shards an instance before; at most 10 of 64 with 7 by construction). Owners with a part of the team's limit left are asked first, since two grants of a small team seldom met at one owner (a gang of two waited up to 10 s). A peer counts as down after 0.8 s, not 1.5 s. The guard scenario of the cut-off instance took one domain out, in which that instance now owns nothing; it takes all out and counts starts in any.

--- a/include/crocuslever/Core.h
+++ b/include/crocuslever/Core.h
@@ -153,6 +153,8 @@
     std::uint64_t randomState { 1 };
     bool shuttingDown { false };
     bool shutdownReported { false };
+    TimePoint shutdownSince;
+    std::optional<TimePoint> leaseReturnedAt; ///< The last step of a graceful stop.
     TimePoint shutdownDeadline;
     TimePoint nextHeartbeat;
     TimePoint nextOwnershipPass;
--- a/include/crocuslever/CoreSettings.h
+++ b/include/crocuslever/CoreSettings.h
@@ -20,7 +20,7 @@
     Duration sessionMargin { std::chrono::milliseconds(800) }; ///< Validity ends this much before the lease.
     Duration keepAliveInterval { std::chrono::milliseconds(1000) };
     Duration heartbeatInterval { std::chrono::milliseconds(250) };
-    Duration peerTimeout { std::chrono::milliseconds(1500) }; ///< Silence after which a peer gets no new work.
+    Duration peerTimeout { std::chrono::milliseconds(800) }; ///< Silence after which a peer gets no new work.
     Duration commitInterval { std::chrono::milliseconds(100) }; ///< Least time between two group commits.
     Duration escrowInterval { std::chrono::milliseconds(200) }; ///< Least time between two grant writes.
     Duration syncInterval { std::chrono::milliseconds(1000) }; ///< Between two calls to an upstream with attempts.
--- a/src/core/Calls.cpp
+++ b/src/core/Calls.cpp
@@ -57,6 +57,8 @@
 /// Why the call can't be taken at all; nothing has been passed on.
 static std::optional<CallerReply> refuseAtOnce(const CoreState& state, const CallerCall& call, TimePoint now)
 {
+    if (state.leaseReturnedAt)
+        return makeReply(call.id, CallOutcome::NotRun, RefusalReason::ShuttingDown, "this instance has stopped");
     if (state.shuttingDown && now > state.shutdownDeadline - state.settings.shutdownDeadline + kShutdownGrace)
         return makeReply(call.id, CallOutcome::NotRun, RefusalReason::ShuttingDown, "this instance is stopping");
     if (state.configuration.current->revision == 0 || !isSessionValid(state, now))
--- a/src/core/Escrow.cpp
+++ b/src/core/Escrow.cpp
@@ -7,6 +7,7 @@
 #include "src/core/Ownership.h"
 #include "src/core/Peers.h"
 #include "src/core/Session.h"
+#include "src/core/Shares.h"
 #include "src/core/StoreKeys.h"
 #include "src/core/StoreWriter.h"
 
@@ -61,6 +62,22 @@
         standing.granted = grantOf(grants, team, state.session.id);
 }
 
+int grantRoomAt(const CoreState& state, const MemberRow& member, const TeamId& team)
+{
+    const TeamUsage* usage = findUsage(member.heartbeat, team);
+    int running = usage == nullptr ? 0 : usage->running;
+    return grantOf(state.escrow.grants, team, member.record.session) - running;
+}
+
+void noteSentTo(MemberRow& member, const TeamId& team)
+{
+    std::vector<TeamUsage>& teams = member.heartbeat.teams;
+    auto it = std::lower_bound(teams.begin(), teams.end(), team, [](const TeamUsage& usage, const TeamId& id) { return usage.team < id; });
+    if (it == teams.end() || it->team != team)
+        it = teams.insert(it, TeamUsage { team, 0, 0, 0, { 0, 0, 0, 0 } });
+    ++it->running;
+}
+
 static int sumOf(const GrantRecord& grants, const TeamId& team)
 {
     auto it = grants.find(team);
--- a/src/core/Escrow.h
+++ b/src/core/Escrow.h
@@ -6,6 +6,11 @@
 
 /// How many more of the team's tasks may start at this instance now.
 int teamRoom(const CoreState&, const TeamId&);
+/// What is known here of the team's room at a member: its grant in the store less
+/// what its last heartbeat said, and what has been sent there since.
+int grantRoomAt(const CoreState&, const MemberRow&, const TeamId&);
+/// Counts a task sent to a member until its next heartbeat.
+void noteSentTo(MemberRow&, const TeamId&);
 /// Counts a task of the team that starts to hold room here (or ceases to, -1).
 void chargeTeam(CoreState&, const TeamId&, int n);
 /// Notes that a start was refused for want of a grant.
--- a/src/core/JobDispatch.cpp
+++ b/src/core/JobDispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/core/Escrow.h"
 #include "src/core/JobSteps.h"
 #include "src/core/Jobs.h"
 #include "src/core/Ownership.h"
@@ -86,17 +87,23 @@
         && resources.fitsIn(member.heartbeat.deferredRoom);
 }
 
-/// The better of two chosen by chance. Work that is to be spread goes where the
-/// most room is, work that is to be packed where the least is.
-static MemberRow* chooseOwner(CoreState& state, const TaskSpec& spec, TimePoint now)
+/// The better of two chosen by chance, among owners that have a part of the
+/// team's limit left if there are any.
+static MemberRow* chooseOwner(CoreState& state, const TeamId& team, const TaskSpec& spec, TimePoint now)
 {
     std::vector<MemberRow*> able;
+    std::vector<MemberRow*> granted;
     for (auto& [id, member] : state.members) {
-        if (mayTake(state, member, spec.resources, now))
-            able.push_back(&member);
+        if (!mayTake(state, member, spec.resources, now))
+            continue;
+        able.push_back(&member);
+        if (grantRoomAt(state, member, team) > 0)
+            granted.push_back(&member);
     }
     if (able.empty())
         return nullptr;
+    if (!granted.empty())
+        able = std::move(granted);
     MemberRow* a = able[nextRandom(state) % able.size()];
     MemberRow* b = able[nextRandom(state) % able.size()];
     return a->heartbeat.deferredRoom.slots >= b->heartbeat.deferredRoom.slots ? a : b;
@@ -143,11 +150,12 @@
 
 static bool askForTask(CoreState& state, JobRow& job, std::size_t task, TimePoint now, Actions& actions)
 {
-    MemberRow* owner = chooseOwner(state, job.record.spec, now);
+    MemberRow* owner = chooseOwner(state, job.record.team, job.record.spec, now);
     if (owner == nullptr)
         return false;
     // Until the owner's next heartbeat, count what has been asked of it as taken.
     owner->heartbeat.deferredRoom = owner->heartbeat.deferredRoom - job.record.spec.resources;
+    noteSentTo(*owner, job.record.team);
     ReserveRequest request = makeRequest(state, job, task);
     JobRow::TaskProgress& progress = job.progress[task];
     progress.asked = request.attempt;
--- a/src/core/Ownership.cpp
+++ b/src/core/Ownership.cpp
@@ -36,22 +36,47 @@
     return !(member.heard && member.heartbeat.shuttingDown);
 }
 
-InstanceId wantedOwner(const CoreState& state, ShardIndex shard)
+static std::vector<InstanceId> candidates(const CoreState& state)
 {
-    InstanceId best;
-    std::uint64_t bestWeight = 0;
+    std::vector<InstanceId> ids;
     for (const auto& [id, member] : state.members) {
-        if (!isCandidate(state, member))
+        if (isCandidate(state, member))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+/// The candidate with the greatest weight that has fewer than `bound` shards.
+static std::size_t pickOwner(const std::vector<InstanceId>& ids, const std::vector<std::size_t>& counts, std::size_t bound, ShardIndex shard)
+{
+    std::size_t best = ids.size();
+    std::uint64_t bestWeight = 0;
+    for (std::size_t n = 0; n < ids.size(); ++n) {
+        std::uint64_t weight = rendezvousWeight(ids[n], shard);
+        if (counts[n] >= bound || (best != ids.size() && weight <= bestWeight))
             continue;
-        std::uint64_t weight = rendezvousWeight(id, shard);
-        if (best.isEmpty() || weight > bestWeight) {
-            best = id;
-            bestWeight = weight;
-        }
+        best = n;
+        bestWeight = weight;
     }
     return best;
 }
 
+std::array<InstanceId, kShardCount> wantedOwners(const CoreState& state)
+{
+    std::array<InstanceId, kShardCount> owners;
+    std::vector<InstanceId> ids = candidates(state);
+    if (ids.empty())
+        return owners;
+    std::vector<std::size_t> counts(ids.size(), 0);
+    std::size_t bound = (kShardCount + ids.size() - 1) / ids.size();
+    for (ShardIndex shard = 0; shard < kShardCount; ++shard) {
+        std::size_t n = pickOwner(ids, counts, bound, shard);
+        ++counts[n];
+        owners[shard] = ids[n];
+    }
+    return owners;
+}
+
 static bool isLive(const CoreState& state, const SessionId& session)
 {
     return state.liveSessions.count(session) != 0;
@@ -185,14 +210,14 @@
     changePhase(row, ShardPhase::Claiming, now);
 }
 
-static bool mayClaim(const CoreState& state, ShardIndex shard, TimePoint now)
+static bool mayClaim(const CoreState& state, ShardIndex shard, const InstanceId& wanted, TimePoint now)
 {
     const ShardRow& row = state.shards[shard];
     if (state.shuttingDown || now < row.nextTry)
         return false;
     if (!row.record.session.isEmpty() && isLive(state, row.record.session))
         return false;
-    return wantedOwner(state, shard) == state.settings.self;
+    return wanted == state.settings.self;
 }
 
 void handleClaimOutcome(CoreState& state, const ClaimPurpose& purpose, bool committed, TimePoint now, Actions&)
@@ -325,14 +350,13 @@
     row.nextTry = now + kRetryInterval;
 }
 
-static bool shouldRelease(const CoreState& state, ShardIndex shard, TimePoint now)
+static bool shouldRelease(const CoreState& state, ShardIndex shard, const InstanceId& wanted, TimePoint now)
 {
     if (state.shuttingDown)
         return true;
     const ShardRow& row = state.shards[shard];
     if (row.phase != ShardPhase::Owned || now - row.phaseSince < kMinimumTenure)
         return false;
-    InstanceId wanted = wantedOwner(state, shard);
     return wanted != state.settings.self && isPeerUp(state, wanted, now);
 }
 
@@ -342,12 +366,12 @@
         [](const ShardRow& row) { return row.phase == ShardPhase::Releasing; }));
 }
 
-static void runShard(CoreState& state, ShardIndex shard, TimePoint now, Actions& actions)
+static void runShard(CoreState& state, ShardIndex shard, const InstanceId& wanted, TimePoint now, Actions& actions)
 {
     ShardRow& row = state.shards[shard];
     switch (row.phase) {
     case ShardPhase::NotOwned:
-        if (mayClaim(state, shard, now))
+        if (mayClaim(state, shard, wanted, now))
             claim(state, shard, now);
         return;
     case ShardPhase::Claiming:
@@ -359,7 +383,7 @@
             runSettling(state, shard, now, actions);
         return;
     case ShardPhase::Owned:
-        if (shouldRelease(state, shard, now) && (state.shuttingDown || countReleasing(state) < kMaximumReleasesAtOnce))
+        if (shouldRelease(state, shard, wanted, now) && (state.shuttingDown || countReleasing(state) < kMaximumReleasesAtOnce))
             changePhase(row, ShardPhase::Releasing, now);
         return;
     case ShardPhase::Releasing:
@@ -375,8 +399,9 @@
     state.nextOwnershipPass = now.steady + kPassInterval;
     if (!state.controlRead || !isSessionValid(state, now.steady))
         return;
+    std::array<InstanceId, kShardCount> wanted = wantedOwners(state);
     for (ShardIndex shard = 0; shard < kShardCount; ++shard)
-        runShard(state, shard, now.steady, actions);
+        runShard(state, shard, wanted[shard], now.steady, actions);
 }
 
 } // namespace crocuslever
--- a/src/core/Ownership.h
+++ b/src/core/Ownership.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <array>
+
 #include "crocuslever/Core.h"
 
 namespace crocuslever {
 
 /// Claims, settles and hands over shards.
 void runOwnership(CoreState&, const Instant& now, Actions&);
-/// The instance that ought to own the shard (rendezvous hashing over live members).
-InstanceId wantedOwner(const CoreState&, ShardIndex);
+/// The instance that ought to own each shard: rendezvous hashing over the live
+/// members, none with more than its even part rounded up. Empty without members.
+std::array<InstanceId, kShardCount> wantedOwners(const CoreState&);
 /// The owner according to the store; empty if there is none.
 InstanceId currentOwner(const CoreState&, ShardIndex);
 /// True if this instance owns the shard and may act on its upstreams now.
--- a/src/core/Session.cpp
+++ b/src/core/Session.cpp
@@ -43,7 +43,7 @@
 
 bool isSessionValid(const CoreState& state, TimePoint now)
 {
-    if (state.session.id.isEmpty() || !state.session.registered)
+    if (state.session.id.isEmpty() || !state.session.registered || state.leaseReturnedAt)
         return false;
     return now < state.session.validUntil || isStoreDownForAll(state, now) || !isOn(Guard::Validity);
 }
@@ -71,7 +71,7 @@
 
 void runSession(CoreState& state, TimePoint now, Actions& actions)
 {
-    if (state.session.requestInFlight || now < state.session.nextAttempt || state.shutdownReported)
+    if (state.session.requestInFlight || now < state.session.nextAttempt || state.leaseReturnedAt)
         return;
     state.session.requestInFlight = true;
     if (state.session.lease == 0)
--- a/src/core/Urgent.cpp
+++ b/src/core/Urgent.cpp
@@ -68,13 +68,17 @@
 static std::vector<InstanceId> ownersWithRoom(const CoreState& state, const CallRow& row, TimePoint now)
 {
     std::vector<InstanceId> owners;
+    std::vector<InstanceId> granted; ///< With a part of the team's limit left.
     for (const auto& [id, member] : state.members) {
         if (!member.heard || member.heartbeat.shuttingDown || !isPeerUp(state, id, now) || wasRefusedBy(row, id))
             continue;
-        if (neededRoom(row.spec).fitsIn(member.heartbeat.urgentRoom))
-            owners.push_back(id);
+        if (!neededRoom(row.spec).fitsIn(member.heartbeat.urgentRoom))
+            continue;
+        owners.push_back(id);
+        if (grantRoomAt(state, member, row.team) > 0)
+            granted.push_back(id);
     }
-    return owners;
+    return granted.empty() ? owners : granted;
 }
 
 /// True if the owner may run more of the team, by the grants and its last heartbeat.
@@ -135,6 +139,7 @@
     // Counted at once, since the next heartbeat is some way off.
     Resources& room = state.members.at(owner).heartbeat.urgentRoom;
     room = room - neededRoom(row.spec);
+    noteSentTo(state.members.at(owner), row.team);
     sendToPeer(state, owner, UrgentCall { row.id, row.team, row.spec, row.deadline - now, row.tries, timeAt(state, owner, now) }, actions);
     ++row.tries;
 }
--- a/tests/guards/GuardsTest.cpp
+++ b/tests/guards/GuardsTest.cpp
@@ -179,14 +179,19 @@
     cell.conduct(2).cutFromStore = true;
     cell.conduct(2).cutFromPeers = true;
     Configuration out = makeConfiguration(2, 1000);
-    out.domainsOut.push_back({ FailureDomainId("north"), "power works" });
+    // Whichever upstreams the cut-off instance owns, their domain is out.
+    for (const char* domain : { "north", "south", "west" })
+        out.domainsOut.push_back({ FailureDomainId(domain), "power works" });
     cell.applyConfiguration(out);
     TimePoint limit = cell.now().steady + kFewSeconds;
     cell.runFor(kFewSeconds);
     for (int n = 0; n < 40; ++n)
         cell.call(2, kKey, makeLookup(200));
     cell.runFor(std::chrono::seconds(3));
-    return countAfter(cell.startsIn(FailureDomainId("north")), limit);
+    int late = 0;
+    for (const char* domain : { "north", "south", "west" })
+        late += countAfter(cell.startsIn(FailureDomainId(domain)), limit);
+    return late;
 }
 
 int leavingUpstream(std::uint64_t seed)
@@ -228,9 +233,9 @@
 int cutByShutdown(std::uint64_t seed)
 {
     HandDrivenCell cell = makeCell(seed, 1000);
-    std::vector<CallId> calls;
-    for (int n = 0; n < 20; ++n)
-        calls.push_back(cell.call(1, kKey, makeLookup(300)));
+    std::vector<CallId> calls(20);
+    for (CallId& id : calls)
+        id = cell.call(1, kKey, makeLookup(300));
     cell.runFor(std::chrono::milliseconds(100));
     Actions actions;
     handleEvent(cell.core(1), ShutdownRequested {}, cell.now(), actions);
