--- a/src/core/Urgent.cpp
+++ b/src/core/Urgent.cpp
@@ -193,6 +193,14 @@
         passOn(state, row, pickOwner(state, preferGranted(state, owners, row.team)), now, actions);
 }
 
+/// True if an owner that hasn't refused the call has a part of the team's limit left.
+static bool isGrantedElsewhere(const CoreState& state, const CallRow& row, TimePoint now)
+{
+    std::vector<InstanceId> owners = ownersWithRoom(state, row, now);
+    return std::any_of(owners.begin(), owners.end(),
+        [&](const InstanceId& id) { return grantRoomAt(state, state.members.at(id), row.team) > 0; });
+}
+
 static void takeRefusal(CoreState& state, CallRow& row, const InstanceId& from, RefusalReason reason, TimePoint now, Actions& actions)
 {
     row.sent = false;
@@ -202,7 +210,7 @@
     row.refusedBy.push_back(from);
     if (reason == RefusalReason::NeverFits)
         finishWithoutResult(state, row, reason, actions);
-    else if (reason == RefusalReason::TeamLimit)
+    else if (reason == RefusalReason::TeamLimit && !isGrantedElsewhere(state, row, now))
         waitForRoom(state, row, kWaitForGrant, now, actions);
     else
         routeUrgentCall(state, row, now, actions);
