Let each instance hold one grant of a team whose limit allows it

Cause: a team with a limit below twice the number of instances had no grant spread ahead of need, so the first urgent call at each owner waited for a grant to be written.

--- a/src/core/Escrow.cpp
+++ b/src/core/Escrow.cpp
@@ -180,7 +180,8 @@
 static int wantedGrant(const GrantQuestion& q)
 {
     int free = q.limit - q.grantedToAll;
-    int base = q.limit / (2 * q.members);
+    // At least one each where the limit allows it, or a small team's first call would wait for a write.
+    int base = std::max(q.limit / (2 * q.members), q.limit >= q.members ? 1 : 0);
     int step = std::max(1, q.limit / (4 * q.members));
     int target = q.granted;
     if (q.wanted > 0)
