--- a/include/crocuslever/Core.h
+++ b/include/crocuslever/Core.h
@@ -67,7 +67,7 @@
     TimePoint nextTry;
     int tries { 0 };
     bool sent { false }; ///< An owner may be acting on it.
-    int unanswered { 0 }; ///< Jobs only: sends that no owner has surely refused.
+    int unanswered { 0 }; ///< Sends that no owner has surely refused.
     bool callerGone { false };
     std::vector<InstanceId> refusedBy;
     RefusalReason lastReason { RefusalReason::None };
@@ -167,7 +167,7 @@
 /// Runs every system once. Called after events and at least every few milliseconds.
 void tick(CoreState&, const Instant& now, Actions& actions);
 
-/// True if this instance takes new work: lease in force and configuration fresh.
+/// True if this instance takes new work: it isn't stopping, has a configuration, and its lease is in force.
 bool isReady(const CoreState&, TimePoint now);
 
 } // namespace crocuslever
--- a/src/upstream/Encoding.cpp
+++ b/src/codec/Encoding.cpp
@@ -1,4 +1,4 @@
-#include "src/upstream/Encoding.h"
+#include "src/codec/Encoding.h"
 
 #include <array>
 #include <cctype>
--- a/src/control/JobCommands.cpp
+++ b/src/control/JobCommands.cpp
@@ -4,10 +4,10 @@
 #include <optional>
 
 #include "src/codec/Base64.h"
+#include "src/codec/Encoding.h"
 #include "src/control/RunContext.h"
 #include "src/control/TextFile.h"
 #include "src/store/HttpClient.h"
-#include "src/upstream/Encoding.h"
 
 namespace crocuslever {
 
--- a/src/core/Configuration.cpp
+++ b/src/core/Configuration.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
+
+#include "src/codec/Encoding.h"
 
 namespace crocuslever {
 
@@ -45,17 +46,7 @@
 
 std::string hashKeySecret(const std::string& salt, const std::string& secret)
 {
-    std::string text = salt + ":" + secret;
-    unsigned char digest[EVP_MAX_MD_SIZE];
-    unsigned int n = 0;
-    EVP_Digest(text.data(), text.size(), digest, &n, EVP_sha256(), nullptr);
-    static const char* const kDigits = "0123456789abcdef";
-    std::string hex;
-    for (unsigned int i = 0; i < n; ++i) {
-        hex += kDigits[digest[i] >> 4];
-        hex += kDigits[digest[i] & 15];
-    }
-    return hex;
+    return sha256Hex(salt + ":" + secret);
 }
 
 static bool equalInConstantTime(const std::string& a, const std::string& b)
--- a/src/upstream/UpstreamCodec.cpp
+++ b/src/upstream/UpstreamCodec.cpp
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "src/codec/Base64.h"
-#include "src/upstream/Encoding.h"
+#include "src/codec/Encoding.h"
 
 namespace crocuslever {
 
--- a/tests/HandDrivenCellTest.cpp
+++ b/tests/HandDrivenCellTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "tests/support/CellWork.h"
 #include "tests/support/HandDrivenCell.h"
 
 using namespace crocuslever;
@@ -10,44 +11,9 @@
 
 namespace {
 
-const TeamId kTeam("shopfloor");
-const std::string kKey = "k1.secret";
-
-Configuration makeConfiguration(int upperLimit)
-{
-    Configuration configuration;
-    configuration.revision = 1;
-    Team team;
-    team.id = kTeam;
-    team.upperLimit = upperLimit;
-    team.keys.push_back({ "k1", "ab", hashKeySecret("ab", "secret") });
-    configuration.teams.push_back(team);
-    return configuration;
-}
-
-JobSubmission makeSubmission(const std::string& id, bool idempotent, int sleepMs)
-{
-    JobSubmission submission;
-    submission.idempotencyId = id;
-    submission.spec.service = "refit-plan";
-    submission.spec.idempotent = idempotent;
-    submission.spec.body = "{\"sleep_ms\":" + std::to_string(sleepMs) + "}";
-    return submission;
-}
-
-UrgentRequest makeLookup()
-{
-    UrgentRequest request;
-    request.spec.kind = WorkKind::Urgent;
-    request.spec.service = "lookup";
-    request.spec.idempotent = true;
-    request.spec.body = "{\"sleep_ms\":20}";
-    return request;
-}
-
 struct Fixture {
     explicit Fixture(int upperLimit = 100)
-        : cell(3, 9, makeConfiguration(upperLimit))
+        : cell(3, 9, makeConfiguration(1, upperLimit))
     {
         BOOST_REQUIRE(cell.runUntil([&] { return cell.isSettled(); }));
         cell.runFor(std::chrono::seconds(1));
@@ -83,7 +49,7 @@
     {
         std::vector<JobId> jobs(static_cast<std::size_t>(count));
         for (std::size_t n = 0; n < jobs.size(); ++n)
-            jobs[n] = submit(n % 3, makeSubmission(prefix + "-" + std::to_string(n), idempotent, sleepMs));
+            jobs[n] = submit(n % 3, makeJob(prefix + "-" + std::to_string(n), idempotent, sleepMs));
         return jobs;
     }
 
@@ -104,7 +70,7 @@
 BOOST_AUTO_TEST_CASE(AnUrgentRequestIsAnsweredThroughEveryCore)
 {
     for (std::size_t n = 0; n < 3; ++n) {
-        CallId id = cell.call(n, kKey, makeLookup());
+        CallId id = cell.call(n, kKey, makeLookup(20));
         BOOST_REQUIRE(cell.runUntil([&] { return cell.reply(id) != nullptr; }, std::chrono::seconds(3)));
         BOOST_TEST(toString(cell.reply(id)->outcome) == toString(CallOutcome::Done));
     }
@@ -112,11 +78,11 @@
 
 BOOST_AUTO_TEST_CASE(AJobRunsOnceAndItsResultIsSeenThroughAnotherCore)
 {
-    JobId job = submit(0, makeSubmission("plan-1", false, 50));
+    JobId job = submit(0, makeJob("plan-1", false, 50));
     BOOST_TEST(waitForEnd(1, job));
     BOOST_TEST(toString(stateOf(2, job)) == toString(JobState::Succeeded));
     BOOST_TEST(cell.startsOf(job) == 1);
-    BOOST_TEST(submit(2, makeSubmission("plan-1", false, 50)).value() == job.value());
+    BOOST_TEST(submit(2, makeJob("plan-1", false, 50)).value() == job.value());
     BOOST_TEST(cell.startsOf(job) == 1);
 }
 
@@ -162,8 +128,8 @@
     for (std::size_t n = 0; n < 3; ++n)
         cell.conduct(n).cutFromStore = true;
     cell.runFor(std::chrono::seconds(12));
-    CallId urgent = cell.call(0, kKey, makeLookup());
-    CallId job = cell.call(0, kKey, makeSubmission("outage", false, 10));
+    CallId urgent = cell.call(0, kKey, makeLookup(20));
+    CallId job = cell.call(0, kKey, makeJob("outage", false, 10));
     BOOST_REQUIRE(cell.runUntil([&] { return cell.reply(urgent) != nullptr && cell.reply(job) != nullptr; }));
     BOOST_TEST(toString(cell.reply(urgent)->outcome) == toString(CallOutcome::Done));
     BOOST_TEST(toString(cell.reply(job)->outcome) == toString(CallOutcome::NotRun));
@@ -174,15 +140,14 @@
     cell.conduct(2).cutFromStore = true;
     cell.conduct(2).cutFromPeers = true;
     cell.runFor(std::chrono::seconds(5));
-    CallId id = cell.call(2, kKey, makeLookup());
+    CallId id = cell.call(2, kKey, makeLookup(20));
     BOOST_REQUIRE(cell.runUntil([&] { return cell.reply(id) != nullptr; }));
     BOOST_TEST(toString(cell.reply(id)->outcome) == toString(CallOutcome::NotRun));
 }
 
 BOOST_AUTO_TEST_CASE(NothingStartsInADomainThatIsOut)
 {
-    Configuration configuration = makeConfiguration(100);
-    configuration.revision = 2;
+    Configuration configuration = makeConfiguration(2, 100);
     configuration.domainsOut.push_back({ FailureDomainId("north"), "power works" });
     cell.applyConfiguration(configuration);
     TimePoint out = cell.now().steady + std::chrono::seconds(1);
@@ -196,7 +161,7 @@
 
 BOOST_AUTO_TEST_CASE(ACancelledJobStopsAtOnce)
 {
-    JobId job = submit(0, makeSubmission("cancelled", false, 60000));
+    JobId job = submit(0, makeJob("cancelled", false, 60000));
     BOOST_REQUIRE(cell.runUntil([&] { return cell.startsOf(job) == 1; }));
     cell.runFor(std::chrono::seconds(1));
     cell.call(1, kKey, JobCancellation { job });
--- a/tests/UpstreamClientTest.cpp
+++ b/tests/UpstreamClientTest.cpp
@@ -10,7 +10,7 @@
 #include <optional>
 
 #include "src/codec/Base64.h"
-#include "src/upstream/Encoding.h"
+#include "src/codec/Encoding.h"
 #include "src/upstream/HttpPool.h"
 #include "tests/support/UpstreamServer.h"
 #include "tests/support/UpstreamWire.h"
--- a/tests/UpstreamModelTest.cpp
+++ b/tests/UpstreamModelTest.cpp
@@ -4,7 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "src/upstream/Encoding.h"
+#include "src/codec/Encoding.h"
 
 using namespace crocuslever;
 using namespace crocuslever::testing;
--- a/tests/guards/GuardsTest.cpp
+++ b/tests/guards/GuardsTest.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "src/core/Guards.h"
+#include "tests/support/CellWork.h"
 #include "tests/support/HandDrivenCell.h"
 
 using namespace crocuslever;
@@ -14,44 +15,10 @@
 
 namespace {
 
-const TeamId kTeam("shopfloor");
-const std::string kKey = "k1.secret";
 constexpr int kSeeds = 6;
 /// The users' bound on drains, withdrawn keys and leaving upstreams.
 constexpr Duration kFewSeconds = std::chrono::seconds(5);
 
-Configuration makeConfiguration(std::uint64_t revision, int upperLimit)
-{
-    Configuration configuration;
-    configuration.revision = revision;
-    Team team;
-    team.id = kTeam;
-    team.upperLimit = upperLimit;
-    team.keys.push_back({ "k1", "ab", hashKeySecret("ab", "secret") });
-    configuration.teams.push_back(team);
-    return configuration;
-}
-
-JobSubmission makeJob(const std::string& id, bool idempotent, int sleepMs)
-{
-    JobSubmission submission;
-    submission.idempotencyId = id;
-    submission.spec.service = "refit-plan";
-    submission.spec.idempotent = idempotent;
-    submission.spec.body = "{\"sleep_ms\":" + std::to_string(sleepMs) + "}";
-    return submission;
-}
-
-UrgentRequest makeLookup(int sleepMs)
-{
-    UrgentRequest request;
-    request.spec.kind = WorkKind::Urgent;
-    request.spec.service = "lookup";
-    request.spec.idempotent = true;
-    request.spec.body = "{\"sleep_ms\":" + std::to_string(sleepMs) + "}";
-    return request;
-}
-
 HandDrivenCell makeCell(std::uint64_t seed, int upperLimit, int upstreams = 9)
 {
     HandDrivenCell cell(3, upstreams, makeConfiguration(1, upperLimit), seed);
--- a/tests/support/Cell.cpp
+++ b/tests/support/Cell.cpp
@@ -14,7 +14,7 @@
 #include "src/codec/Base64.h"
 #include "src/codec/RecordCodec.h"
 #include "src/core/StoreKeys.h"
-#include "src/upstream/Encoding.h"
+#include "src/codec/Encoding.h"
 
 namespace crocuslever::testing {
 
--- a/tests/support/UpstreamModel.cpp
+++ b/tests/support/UpstreamModel.cpp
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "src/upstream/Encoding.h"
+#include "src/codec/Encoding.h"
 
 namespace crocuslever::testing {
 
--- a/tests/support/UpstreamServer.cpp
+++ b/tests/support/UpstreamServer.cpp
@@ -11,7 +11,7 @@
 #include <utility>
 
 #include "src/daemon/SystemClock.h"
-#include "src/upstream/Encoding.h"
+#include "src/codec/Encoding.h"
 #include "tests/support/UpstreamWire.h"
 
 namespace crocuslever::testing {
--- a/tests/support/UpstreamWire.cpp
+++ b/tests/support/UpstreamWire.cpp
@@ -1,7 +1,7 @@
 #include "tests/support/UpstreamWire.h"
 
 #include "src/codec/Base64.h"
-#include "src/upstream/Encoding.h"
+#include "src/codec/Encoding.h"
 
 namespace crocuslever::testing {
 
--- a/tools/crocusload/LoadRun.cpp
+++ b/tools/crocusload/LoadRun.cpp
@@ -5,7 +5,7 @@
 #include <random>
 #include <sstream>
 
-#include "src/upstream/Encoding.h"
+#include "src/codec/Encoding.h"
 #include "tools/crocusload/CallerClient.h"
 
 namespace crocuslever::load {
