--- a/tests/support/Cell.cpp
+++ b/tests/support/Cell.cpp
@@ -12,9 +12,9 @@
 #include <unistd.h>
 
 #include "src/codec/Base64.h"
+#include "src/codec/Encoding.h"
 #include "src/codec/RecordCodec.h"
 #include "src/core/StoreKeys.h"
-#include "src/codec/Encoding.h"
 
 namespace crocuslever::testing {
 
--- a/tests/support/UpstreamServer.cpp
+++ b/tests/support/UpstreamServer.cpp
@@ -10,8 +10,8 @@
 #include <set>
 #include <utility>
 
-#include "src/daemon/SystemClock.h"
 #include "src/codec/Encoding.h"
+#include "src/daemon/SystemClock.h"
 #include "tests/support/UpstreamWire.h"
 
 namespace crocuslever::testing {
