--- /dev/null
+++ b/src/cell/Advice.cpp
@@ -0,0 +1,236 @@
+#include "src/cell/Advice.h"
+
+#include <algorithm>
+
+#include "cell.pb.h"
+#include "src/cell/Ask.h"
+#include "src/cell/Fit.h"
+#include "src/cell/Jobs.h"
+#include "src/cell/PeerCalls.h"
+#include "src/cell/Upstreams.h"
+
+namespace crocuslever::cell {
+
+namespace wire = crocuslever::cellwire;
+
+/// A ticket that is about to lapse may do so on the way to the upstream.
+static constexpr Duration kTicketMargin = std::chrono::milliseconds(150);
+/// An instance with this much to ask already gets no more questions.
+static constexpr Duration kMostBacklog = std::chrono::milliseconds(1500);
+static constexpr int kMostQuestions = 4; ///< In flight from one instance.
+/// On top of what a question should take.
+static constexpr Duration kAnswerSlack = std::chrono::milliseconds(600);
+static constexpr Duration kPauseAfterSilence = std::chrono::milliseconds(800);
+static constexpr Duration kPauseAfterNo = std::chrono::milliseconds(100);
+static constexpr Duration kInstanceFreshness = std::chrono::milliseconds(1500);
+static constexpr std::size_t kMostUpstreams = 100; ///< In one question.
+static constexpr std::size_t kLeastUpstreams = 12; ///< Named for a few tasks.
+static constexpr std::size_t kUpstreamsPerTask = 2;
+
+const std::string* findTicket(const StepRow& step, const UpstreamRow& upstream, TimePoint now)
+{
+    auto it = step.advice.good.find(lifeOf(upstream.entry));
+    if (it == step.advice.good.end() || now + kTicketMargin > it->second.validUntil)
+        return nullptr;
+    return &it->second.ticket;
+}
+
+bool isAdvisedAgainst(const StepRow& step, const UpstreamRow& upstream)
+{
+    std::string life = lifeOf(upstream.entry);
+    return step.advice.judged.count(life) > 0 && step.advice.good.count(life) == 0;
+}
+
+namespace {
+
+struct Named {
+    const UpstreamRow* upstream { nullptr };
+    int fits { 0 };
+};
+
+} // namespace
+
+/// Upstreams with room that the step may use, as far as is known, without a ticket.
+static std::vector<Named> findUnticketed(const CellState& state, const Route& route, const StepSpec& spec, const StepRow& row, TimePoint now)
+{
+    std::vector<Named> found;
+    for (const auto& [id, upstream] : state.upstreams) {
+        if (!takesWork(state, upstream, now) || !isSuitable(spec, route, upstream))
+            continue;
+        if (isAdvisedAgainst(row, upstream) || findTicket(row, upstream, now))
+            continue;
+        int fits = countFits(roomOn(upstream), amountOf(spec), std::max(row.waiting, 1));
+        if (fits > 0)
+            found.push_back({ &upstream, fits });
+    }
+    std::sort(found.begin(), found.end(), [](const Named& a, const Named& b) { return a.fits > b.fits; });
+    return found;
+}
+
+/// A gang needs a choice of many; single tasks need few.
+static std::size_t countToName(const StepSpec& spec, const StepRow& row)
+{
+    if (spec.gang)
+        return kMostUpstreams;
+    return std::min(kMostUpstreams, kLeastUpstreams + kUpstreamsPerTask * static_cast<std::size_t>(row.waiting));
+}
+
+static Duration costOf(const AdviceTiming& timing, std::size_t upstreams)
+{
+    return timing.base + timing.perUpstream * static_cast<std::int64_t>(upstreams);
+}
+
+/// The instance with the least to ask; empty: none has time.
+static std::string chooseInstance(CellState& state, TimePoint now)
+{
+    std::string best;
+    Duration least = kMostBacklog;
+    for (const auto& [name, instance] : state.membership.instances) {
+        const AdviceLoad& load = state.adviceLoads[name];
+        bool isFresh = now - instance.lastSeen < kInstanceFreshness || name == state.settings.instance;
+        if (!isFresh || now < load.avoidUntil || load.questions >= kMostQuestions || load.backlog >= least)
+            continue;
+        best = name;
+        least = load.backlog;
+    }
+    return best;
+}
+
+namespace {
+
+/// A question in flight.
+struct Question {
+    TaskKey step;
+    std::string instance;
+    Duration cost { 0 };
+    std::map<std::string, std::string> lives; ///< By upstream.
+    Ticket ticket { 0 };
+};
+
+} // namespace
+
+static void takeAnswer(CellState& state, const Question& question, const AdviceResult* result, const Instant& now, CellActions& actions)
+{
+    AdviceLoad& load = state.adviceLoads[question.instance];
+    load.backlog = std::max(Duration(0), load.backlog - question.cost);
+    load.questions = std::max(0, load.questions - 1);
+    if (!result)
+        load.avoidUntil = now.steady + kPauseAfterSilence;
+    TaskKey first = question.step;
+    JobRow* job = findJob(state, question.step.job);
+    if (!job || !findTask(state, first))
+        return;
+    StepAdvice& advice = job->occurrences[first.occurrence].steps[first.step].advice;
+    if (advice.asking != question.ticket)
+        return;
+    advice.asking = 0;
+    state.placementDue = true;
+    if (!result || !result->ok) {
+        note(actions, LogLevel::Info, "advice", question.instance, question.step.job, formatStepKey(question.step) + ": no answer");
+        advice.nextAsk = now.steady + kPauseAfterNo;
+        return;
+    }
+    for (const auto& [upstream, life] : question.lives)
+        advice.judged.insert(life);
+    for (const AdviceRow& row : result->good) {
+        auto life = question.lives.find(row.upstream);
+        if (life != question.lives.end())
+            advice.good[life->second] = { row.ticket, now.steady + result->validity };
+    }
+    advice.nextAsk = now.steady;
+    note(actions, LogLevel::Info, "advice", question.instance, question.step.job, formatStepKey(question.step) + ": " + std::to_string(result->good.size()) + " of " + std::to_string(question.lives.size()) + " upstreams may run it");
+}
+
+static void sendQuestion(CellState& state, const Question& question, AskAdvice ask, const Instant& now, CellActions& actions)
+{
+    if (question.instance == state.settings.instance) {
+        ask.ticket = state.nextTicket++;
+        state.adviceCalls[ask.ticket] = [question](CellState& s, const AdviceResult& result, const Instant& at, CellActions& out) { takeAnswer(s, question, &result, at, out); };
+        actions.push_back(std::move(ask));
+        return;
+    }
+    wire::PeerMessage query;
+    query.mutable_advice_query()->set_step(ask.step);
+    query.mutable_advice_query()->set_timeout_ms(toMilliseconds(ask.timeout));
+    for (const std::string& id : ask.upstreams)
+        query.mutable_advice_query()->add_upstreams(id);
+    auto then = [question](CellState& s, const wire::PeerMessage* answer, const Instant& at, CellActions& out) {
+        if (!answer || !answer->has_advice_answer()) {
+            takeAnswer(s, question, nullptr, at, out);
+            return;
+        }
+        AdviceResult result;
+        result.ok = answer->advice_answer().ok();
+        result.validity = fromMilliseconds(answer->advice_answer().validity_ms());
+        for (const wire::AdviceRow& row : answer->advice_answer().good())
+            result.good.push_back({ row.upstream(), row.ticket() });
+        takeAnswer(s, question, &result, at, out);
+    };
+    const std::string& address = state.membership.instances.at(question.instance).address;
+    askPeer(state, address, std::move(query), ask.timeout, std::move(then), now, actions);
+}
+
+bool askForAdvice(CellState& state, const Route& route, const TaskKey& step, const Instant& now, CellActions& actions)
+{
+    JobRow& job = *findJob(state, step.job);
+    StepRow& row = job.occurrences[step.occurrence].steps[step.step];
+    if (row.advice.asking != 0 || now.steady < row.advice.nextAsk)
+        return true;
+    const StepSpec& spec = specOf(job, step);
+    std::vector<Named> named = findUnticketed(state, route, spec, row, now.steady);
+    if (named.empty())
+        return true;
+    named.resize(std::min(named.size(), countToName(spec, row)));
+    Question question;
+    question.step = step;
+    question.instance = chooseInstance(state, now.steady);
+    if (question.instance.empty())
+        return false;
+    question.cost = costOf(*route.advice, named.size());
+    AskAdvice ask;
+    ask.step = formatStepKey(step);
+    for (const Named& it : named) {
+        ask.upstreams.push_back(it.upstream->entry.id);
+        question.lives[it.upstream->entry.id] = lifeOf(it.upstream->entry);
+    }
+    AdviceLoad& load = state.adviceLoads[question.instance];
+    load.backlog += question.cost;
+    ++load.questions;
+    ask.timeout = load.backlog + kAnswerSlack;
+    question.ticket = state.nextTicket++;
+    row.advice.asking = question.ticket;
+    state.counters.add("advice_questions_total");
+    sendQuestion(state, question, std::move(ask), now, actions);
+    return true;
+}
+
+void answerAdviceQuery(CellState& state, const std::string& peer, std::uint64_t call, const AskAdvice& query, CellActions& actions)
+{
+    AskAdvice ask = query;
+    ask.ticket = state.nextTicket++;
+    state.adviceCalls[ask.ticket] = [peer, call](CellState& s, const AdviceResult& result, const Instant&, CellActions& out) {
+        wire::PeerMessage answer;
+        wire::AdviceAnswer& body = *answer.mutable_advice_answer();
+        body.set_ok(result.ok);
+        body.set_validity_ms(toMilliseconds(result.validity));
+        for (const AdviceRow& row : result.good) {
+            wire::AdviceRow& good = *body.add_good();
+            good.set_upstream(row.upstream);
+            good.set_ticket(row.ticket);
+        }
+        answerPeer(s, peer, call, std::move(answer), out);
+    };
+    actions.push_back(std::move(ask));
+}
+
+void handleAdviceResult(CellState& state, const AdviceResult& result, const Instant& now, CellActions& actions)
+{
+    auto it = state.adviceCalls.find(result.ticket);
+    if (it == state.adviceCalls.end())
+        return;
+    AdviceContinuation then = std::move(it->second);
+    state.adviceCalls.erase(it);
+    then(state, result, now, actions);
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Ask.cpp
@@ -0,0 +1,64 @@
+#include "src/cell/Ask.h"
+
+namespace crocuslever::cell {
+
+static constexpr int kSilencesUntilAway = 3;
+
+static Ticket remember(CellState& state, StoreContinuation then)
+{
+    Ticket ticket = state.nextTicket++;
+    state.storeCalls.emplace(ticket, std::move(then));
+    state.counters.add("store_calls_total");
+    return ticket;
+}
+
+void readKey(CellState& state, const std::string& key, StoreContinuation then, CellActions& actions)
+{
+    actions.push_back(StoreRead { remember(state, std::move(then)), key });
+}
+
+void listKeys(CellState& state, const std::string& prefix, StoreContinuation then, CellActions& actions)
+{
+    actions.push_back(StoreList { remember(state, std::move(then)), prefix });
+}
+
+void change(CellState& state, StoreChange command, StoreContinuation then, CellActions& actions)
+{
+    command.ticket = remember(state, std::move(then));
+    actions.push_back(std::move(command));
+}
+
+Ticket awaitChanges(CellState& state, const std::string& prefix, StoreRevision revision, Duration wait, StoreContinuation then, CellActions& actions)
+{
+    Ticket ticket = remember(state, std::move(then));
+    actions.push_back(StoreAwait { ticket, prefix, revision, wait });
+    return ticket;
+}
+
+void grantLease(CellState& state, Duration timeToLive, StoreContinuation then, CellActions& actions)
+{
+    actions.push_back(LeaseGrant { remember(state, std::move(then)), timeToLive });
+}
+
+void renewLease(CellState& state, LeaseId lease, StoreContinuation then, CellActions& actions)
+{
+    actions.push_back(LeaseRenew { remember(state, std::move(then)), lease });
+}
+
+bool isStoreReachable(const CellState& state) { return state.membership.storeSilences < kSilencesUntilAway; }
+
+void note(CellActions& actions, LogLevel level, const std::string& step, const std::string& peer, const std::string& job, const std::string& message)
+{
+    actions.push_back(LogLine { level, step, peer, job, message });
+}
+
+std::uint64_t randomBelow(CellState& state, std::uint64_t n)
+{
+    // xorshift64*: enough to spread retries.
+    state.randomState ^= state.randomState >> 12;
+    state.randomState ^= state.randomState << 25;
+    state.randomState ^= state.randomState >> 27;
+    return n == 0 ? 0 : (state.randomState * 2685821657736338717ULL) % n;
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/CellState.h
@@ -0,0 +1,290 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "crocuslever/Core.h"
+#include "crocuslever/Counters.h"
+#include "src/cell/CellSettings.h"
+#include "src/cell/FleetPolicy.h"
+#include "src/cell/JobSpec.h"
+#include "src/cell/Messages.h"
+
+namespace crocuslever::cellwire {
+class PeerMessage;
+}
+
+namespace crocuslever::cell {
+
+struct CellState;
+
+/// A task of one occurrence of a job.
+struct TaskKey {
+    std::string job;
+    int occurrence { 0 };
+    int step { 0 };
+    int index { 0 };
+
+    auto tie() const { return std::tie(job, occurrence, step, index); }
+};
+
+std::string formatTaskKey(const TaskKey&);
+std::optional<TaskKey> parseTaskKey(const std::string&);
+/// Names a step to the advice service.
+std::string formatStepKey(const TaskKey&);
+
+enum class TaskPhase {
+    Waiting, ///< Runs nowhere.
+    Starting, ///< An order to start it is out, without an answer so far.
+    Running,
+    Stopping,
+    Done,
+};
+
+struct TaskRow {
+    TaskPhase phase { TaskPhase::Waiting };
+    std::string upstream; ///< Where its run is; empty while it waits.
+    int run { 0 }; ///< The latest.
+    int failures { 0 };
+    std::string checkpoint;
+    int percent { 0 }; ///< As last listed.
+    TimePoint since; ///< When it entered the phase.
+    TimePoint notBefore; ///< Not placed again earlier.
+};
+
+/// What the advice service said of a step.
+struct StepAdvice {
+    struct Grant {
+        std::string ticket;
+        TimePoint validUntil;
+    };
+    std::map<std::string, Grant> good; ///< By upstream and life.
+    std::set<std::string> judged; ///< Upstreams and lives that it was asked about.
+    Ticket asking { 0 }; ///< A question in flight; 0: none.
+    TimePoint nextAsk;
+};
+
+struct StepRow {
+    std::vector<TaskRow> tasks;
+    int done { 0 };
+    int waiting { 0 };
+    int failedRuns { 0 }; ///< Of a gang.
+    int lastFailedRun { 0 }; ///< Of a gang; its members fail together.
+    StepAdvice advice;
+};
+
+struct OccurrenceRow {
+    std::vector<StepRow> steps;
+    bool done { false };
+};
+
+struct JobRow {
+    JobRecord record;
+    StoreRevision revision { 0 }; ///< Of its record in the store.
+    std::vector<OccurrenceRow> occurrences;
+    bool begun { false }; ///< A task has started at some time.
+    std::optional<JobState> ended; ///< Final, and being stored.
+};
+
+using JobTable = std::unordered_map<std::string, JobRow>;
+
+/// A run that takes room on an upstream until its end is known.
+struct RunRow {
+    TaskKey task;
+    int run { 0 };
+    Resources amount; ///< Counted against the upstream and the team.
+    std::string team;
+    std::string payload; ///< Kept until the start is answered.
+    std::string advice;
+    std::string checkpoint;
+    Ticket order { 0 }; ///< In flight; 0: none.
+    bool isOrderStop { false }; ///< Of the order in flight.
+    bool confirmed { false }; ///< The upstream has said that it has it.
+    bool stopping { false };
+    TimePoint confirmedAt;
+    bool stopConfirmed { false };
+    TimePoint stopConfirmedAt;
+    TimePoint nextOrder; ///< When to send the order again, if none is in flight.
+    int orders { 0 };
+    TimePoint startedAt;
+    int percent { 0 };
+    std::int64_t gauge { 0 };
+    int pace { 100 };
+};
+
+struct UpstreamRow {
+    DirectoryEntry entry;
+    bool listed { false }; ///< In the directory at its last reading.
+    bool fenced { false }; ///< This life knows our token, and its lists have been read.
+    std::map<std::string, RunRow> runs; ///< By task.
+    Resources used;
+    int strangers { 0 }; ///< Listed runs of no known job; they take unknown room.
+    Ticket look { 0 }; ///< In flight; 0: none.
+    TimePoint lookSentAt;
+    std::int64_t lookLeaseMs { 0 };
+    TimePoint nextLook;
+    int silences { 0 }; ///< Looks in a row without an answer.
+    bool clockKnown { false };
+    std::int64_t clockMs { 0 }; ///< Its clock when `clockAt` was read.
+    TimePoint clockAt;
+    TimePoint leasesEnd; ///< No lease that we gave lasts longer.
+    std::int64_t lastEnd { 0 }; ///< Highest number of an end taken in.
+    std::int64_t acknowledged { 0 }; ///< Ends up to here are in the store.
+    TimePoint unwellUntil; ///< Gets no new work before.
+};
+
+using UpstreamTable = std::map<std::string, UpstreamRow>;
+
+/// This instance's lease in the store and its place among the instances.
+struct Membership {
+    LeaseId lease { 0 };
+    bool granting { false };
+    bool renewing { false };
+    bool registering { false };
+    bool registered { false };
+    TimePoint renewedAt; ///< When the last renewal that succeeded was sent.
+    TimePoint nextRenewal;
+    bool listing { false };
+    TimePoint nextList;
+    TimePoint listedAt;
+    struct Instance {
+        std::string address;
+        std::string incarnation;
+        TimePoint lastSeen; ///< In the store.
+    };
+    std::map<std::string, Instance> instances; ///< By name, this one included.
+    std::string ownerInstance;
+    std::string ownerAddress; ///< Empty: nobody owns the cell.
+    std::int64_t ownerToken { 0 };
+    StoreRevision epochRevision { 0 };
+    std::int64_t epoch { 0 };
+    TimePoint ownerSilentUntil; ///< The owner didn't answer; not asked before.
+    TimePoint storeAnsweredAt; ///< Last answer of any kind from the store.
+    int storeSilences { 0 }; ///< Calls in a row that it didn't answer or refused.
+};
+
+enum class OwnerPhase { None,
+    Acquiring,
+    Recovering, ///< Reads what the store holds.
+    Deciding };
+
+/// What only the owner of the cell has.
+struct Ownership {
+    OwnerPhase phase { OwnerPhase::None };
+    std::int64_t token { 0 };
+    StoreRevision guard { 0 }; ///< Revision of the epoch's key; each write of the owner depends on it.
+    TimePoint since;
+    TimePoint nextAttempt;
+    bool reowning { false }; ///< The owner's key is being put back under a new lease.
+    std::string predecessor; ///< Instance, and its incarnation.
+    std::string predecessorIncarnation;
+    TimePoint strangersEnd; ///< Runs that no list shows have ended by then.
+    int readsLeft { 0 };
+    bool areStrangersKnown { false }; ///< No upstream can run a task of a predecessor unknown to us.
+    std::set<std::string> knownUpstreams; ///< In the store's record: upstream and life.
+    StoreRevision knownRevision { 0 }; ///< Of that record.
+    bool storingKnown { false };
+    std::vector<UpstreamTarget> earlierUpstreams; ///< Of the predecessors; may run tasks.
+    StoreRevision watchFrom { 0 };
+    Ticket watch { 0 };
+    TimePoint nextWatch;
+    TimePoint nextDirectory;
+    bool readingDirectory { false };
+};
+
+/// Group commit of what the owner has taken in.
+struct CommitQueue {
+    std::set<std::string> dirty; ///< Jobs.
+    bool inFlight { false };
+    TimePoint nextCommit;
+    StoreRevision chain { 0 }; ///< Revision of the commit key after the latest commit.
+};
+
+struct FinishedJob {
+    JobState state { JobState::Completed };
+    TimePoint forgetAt;
+};
+
+/// A caller's call that isn't answered yet.
+struct EntryRow {
+    EntryCall call;
+    TimePoint arrivedAt;
+    TimePoint giveUpAt;
+    std::string jobId;
+    std::string route;
+    std::string team;
+    StoreRevision jobRevision { 0 };
+    bool maybeStored { false }; ///< The store may have taken it.
+    int tries { 0 };
+    TimePoint retryAt; ///< Set: the next try is due then.
+    bool retrying { false };
+};
+
+/// A query to a peer, and what is done with its answer.
+struct PeerCall {
+    TimePoint deadline;
+    std::function<void(CellState&, const cellwire::PeerMessage* answer, const Instant&, CellActions&)> then;
+};
+
+struct AdviceLoad {
+    Duration backlog { 0 }; ///< Of the questions in flight.
+    int questions { 0 };
+    TimePoint avoidUntil; ///< It didn't answer.
+};
+
+using StoreContinuation = std::function<void(CellState&, const StoreReply&, const Instant&, CellActions&)>;
+
+using AdviceContinuation = std::function<void(CellState&, const AdviceResult&, const Instant&, CellActions&)>;
+
+struct CellState {
+    explicit CellState(CellSettings);
+
+    CellSettings settings;
+    TimePoint startedAt;
+    Membership membership;
+    Ownership ownership;
+    std::shared_ptr<const FleetPolicy> policy; ///< Null: none so far.
+    TimePoint policyReadAt;
+    std::set<std::string> evacuated;
+    std::vector<UpkeepWave> waves;
+    Ticket readingDeclarations { 0 };
+    TimePoint nextDeclarations;
+
+    JobTable jobs;
+    std::unordered_map<std::string, FinishedJob> finished;
+    std::set<std::string> cancels; ///< Cancelled jobs that still run, or whose record hasn't been seen.
+    UpstreamTable upstreams;
+    std::map<std::string, Resources> teamUse;
+    CommitQueue commits;
+    bool placementDue { false };
+    TimePoint nextPlacement;
+    std::map<std::string, AdviceLoad> adviceLoads; ///< By instance.
+
+    std::map<CallId, EntryRow> entries;
+    std::map<std::uint64_t, PeerCall> peerCalls;
+    std::map<Ticket, StoreContinuation> storeCalls;
+    std::map<Ticket, AdviceContinuation> adviceCalls;
+    std::map<Ticket, std::pair<std::string, std::string>> orders; ///< Upstream and task of an order in flight.
+    std::map<Ticket, std::string> looks; ///< Upstream of a look in flight.
+    std::uint64_t nextTicket { 1 };
+    std::uint64_t randomState { 1 };
+    bool stopping { false };
+    bool stopped { false };
+    TimePoint stoppingSince;
+    Counters counters;
+};
+
+/// Takes in one event; appends what the edges are to do.
+void handleEvent(CellState&, const CellEvent&, const Instant& now, CellActions&);
+/// Runs every system once; called after events and at least every few milliseconds.
+void tick(CellState&, const Instant& now, CellActions&);
+/// True if this instance should get new connections.
+bool isReady(const CellState&, TimePoint now);
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Entry.cpp
@@ -0,0 +1,358 @@
+#include "src/cell/Entry.h"
+
+#include <algorithm>
+
+#include "cell.pb.h"
+#include "src/cell/Ask.h"
+#include "src/cell/Jobs.h"
+#include "src/cell/Keys.h"
+#include "src/cell/Ownership.h"
+#include "src/cell/PeerCalls.h"
+#include "src/cell/RecordCodec.h"
+
+namespace crocuslever::cell {
+
+namespace wire = crocuslever::cellwire;
+
+static constexpr std::size_t kIdLength = 16;
+static constexpr Duration kDefaultPatience = std::chrono::milliseconds(3000);
+/// A call is answered at the latest after this share of the caller's patience.
+static constexpr double kPatienceUsed = 0.7;
+static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+static constexpr Duration kOwnerTimeout = std::chrono::milliseconds(300);
+static constexpr Duration kOwnerPause = std::chrono::milliseconds(600);
+static constexpr Duration kRetryAfterOutage = std::chrono::milliseconds(1000);
+
+static void reply(CellState& state, CallId id, EntryReply answer, CellActions& actions)
+{
+    answer.id = id;
+    state.entries.erase(id);
+    actions.push_back(std::move(answer));
+}
+
+static EntryReply makeReply(EntryOutcome outcome, const std::string& reason = {})
+{
+    EntryReply answer;
+    answer.outcome = outcome;
+    answer.reason = reason;
+    return answer;
+}
+
+static EntryReply makeState(JobState job)
+{
+    EntryReply answer;
+    answer.outcome = EntryOutcome::State;
+    answer.state = job;
+    return answer;
+}
+
+static EntryReply makeRefusal(const std::string& reason)
+{
+    EntryReply answer = makeReply(EntryOutcome::Refused, reason);
+    answer.retryAfter = kRetryAfterOutage;
+    return answer;
+}
+
+/// The call failed for want of the store: an honest refusal, or "unknown" if it may have been stored.
+static void giveUp(CellState& state, const EntryRow& row, const std::string& why, CellActions& actions)
+{
+    EntryReply answer = row.maybeStored ? makeReply(EntryOutcome::Unknown, why) : makeRefusal(why);
+    note(actions, LogLevel::Warning, "entry.give-up", "", row.jobId, why + (row.maybeStored ? "; it may have taken effect" : "; nothing was done") + " after " + std::to_string(row.tries) + " tries");
+    state.counters.add("entry_given_up_total");
+    reply(state, row.call.id, answer, actions);
+}
+
+static EntryRow* findEntry(CellState& state, CallId id)
+{
+    auto it = state.entries.find(id);
+    return it == state.entries.end() ? nullptr : &it->second;
+}
+
+static void retryLater(EntryRow& row, const Instant& now)
+{
+    row.retrying = true;
+    row.retryAt = now.steady + kRetryInterval;
+}
+
+// Submitting.
+
+static void handleStored(CellState& state, CallId id, const StoreReply& stored, const Instant& now, CellActions& actions)
+{
+    EntryRow* row = findEntry(state, id);
+    if (!row)
+        return;
+    if (stored.status == StoreStatus::Ok || stored.status == StoreStatus::Conflict) {
+        bool isNew = stored.status == StoreStatus::Ok;
+        note(actions, LogLevel::Info, "entry.accept", "", row->jobId, std::string(isNew ? "stored" : "was stored already") + " for route " + row->route + ", team " + row->team + ", after " + std::to_string(toMilliseconds(now.steady - row->arrivedAt)) + " ms");
+        state.counters.add("entry_accepted_total");
+        reply(state, id, makeReply(EntryOutcome::Accepted), actions);
+        return;
+    }
+    row->maybeStored = row->maybeStored || stored.status == StoreStatus::NoAnswer;
+    retryLater(*row, now);
+}
+
+static void store(CellState& state, EntryRow& row, const Instant& now, CellActions& actions)
+{
+    ++row.tries;
+    JobRecord record { row.jobId, row.route, row.team, now.wallMs, *row.call.spec };
+    StoreChange command;
+    command.conditions = { { jobKey(row.jobId), 0 }, { endedKey(row.jobId), 0 } };
+    command.puts = { { jobKey(row.jobId), encodeJob(record), 0 } };
+    CallId id = row.call.id;
+    auto then = [id](CellState& s, const StoreReply& stored, const Instant& at, CellActions& out) { handleStored(s, id, stored, at, out); };
+    change(state, std::move(command), then, actions);
+}
+
+// Looking up.
+
+std::optional<JobState> lookUpJob(const CellState& state, const std::string& id)
+{
+    auto job = state.jobs.find(id);
+    if (job != state.jobs.end())
+        return stateOf(job->second);
+    auto ended = state.finished.find(id);
+    if (ended != state.finished.end())
+        return ended->second.state;
+    return std::nullopt;
+}
+
+std::optional<JobState> parseEndedState(const std::string& text)
+{
+    for (JobState state : { JobState::Completed, JobState::Failed, JobState::Cancelled }) {
+        if (text == toString(state))
+            return state;
+    }
+    return std::nullopt;
+}
+
+static void handleEndedRead(CellState& state, CallId id, const StoreReply& read, const Instant& now, CellActions& actions)
+{
+    EntryRow* row = findEntry(state, id);
+    if (!row)
+        return;
+    if (read.status == StoreStatus::NotFound) {
+        reply(state, id, makeReply(EntryOutcome::Gone), actions);
+        return;
+    }
+    std::optional<JobState> ended = read.entries.empty() ? std::nullopt : parseEndedState(read.entries.front().value);
+    if (read.status != StoreStatus::Ok || !ended) {
+        retryLater(*row, now);
+        return;
+    }
+    bool isCancel = row->call.verb == Verb::Cancel;
+    reply(state, id, isCancel ? makeReply(EntryOutcome::Cancelled) : makeState(*ended), actions);
+}
+
+static void readEnded(CellState& state, const EntryRow& row, CellActions& actions)
+{
+    CallId id = row.call.id;
+    auto then = [id](CellState& s, const StoreReply& read, const Instant& at, CellActions& out) { handleEndedRead(s, id, read, at, out); };
+    readKey(state, endedKey(row.jobId), then, actions);
+}
+
+/// A job moves from its own record to that of ended jobs, so the two are read in this order.
+static void readJob(CellState& state, EntryRow& row, StoreContinuation found, CellActions& actions)
+{
+    ++row.tries;
+    CallId id = row.call.id;
+    auto then = [id, found](CellState& s, const StoreReply& read, const Instant& at, CellActions& out) {
+        EntryRow* entry = findEntry(s, id);
+        if (!entry)
+            return;
+        if (read.status == StoreStatus::NotFound)
+            readEnded(s, *entry, out);
+        else if (read.status != StoreStatus::Ok || read.entries.empty())
+            retryLater(*entry, at);
+        else
+            found(s, read, at, out);
+    };
+    readKey(state, jobKey(row.jobId), then, actions);
+}
+
+static void lookUpInStore(CellState& state, EntryRow& row, CellActions& actions)
+{
+    CallId id = row.call.id;
+    auto found = [id](CellState& s, const StoreReply&, const Instant&, CellActions& out) { reply(s, id, makeState(JobState::Pending), out); };
+    readJob(state, row, found, actions);
+}
+
+static bool mayAskOwner(const CellState& state, TimePoint now)
+{
+    const Membership& membership = state.membership;
+    return !membership.ownerAddress.empty() && membership.ownerAddress != state.settings.address && now >= membership.ownerSilentUntil;
+}
+
+static void lookUp(CellState& state, EntryRow& row, const Instant& now, CellActions& actions)
+{
+    CallId id = row.call.id;
+    std::optional<JobState> known = lookUpJob(state, row.jobId);
+    if (known) {
+        reply(state, id, makeState(*known), actions);
+        return;
+    }
+    if (!mayAskOwner(state, now.steady)) {
+        lookUpInStore(state, row, actions);
+        return;
+    }
+    wire::PeerMessage query;
+    query.mutable_job_query()->set_id(row.jobId);
+    auto then = [id](CellState& s, const wire::PeerMessage* answer, const Instant& at, CellActions& out) {
+        EntryRow* entry = findEntry(s, id);
+        if (!answer)
+            s.membership.ownerSilentUntil = at.steady + kOwnerPause;
+        if (!entry)
+            return;
+        if (answer && answer->has_job_answer() && answer->job_answer().known())
+            reply(s, id, makeState(static_cast<JobState>(answer->job_answer().state())), out);
+        else
+            lookUpInStore(s, *entry, out);
+    };
+    askPeer(state, state.membership.ownerAddress, std::move(query), kOwnerTimeout, then, now, actions);
+}
+
+static EntryReply makeCount(std::int64_t count)
+{
+    EntryReply answer;
+    answer.outcome = EntryOutcome::Count;
+    answer.count = count;
+    return answer;
+}
+
+static void countQueue(CellState& state, EntryRow& row, const Instant& now, CellActions& actions)
+{
+    CallId id = row.call.id;
+    ++row.tries;
+    if (isOwner(state)) {
+        reply(state, id, makeCount(countWaiting(state, row.route)), actions);
+        return;
+    }
+    if (!mayAskOwner(state, now.steady)) {
+        retryLater(row, now);
+        return;
+    }
+    wire::PeerMessage query;
+    query.mutable_count_query()->set_route(row.route);
+    auto then = [id](CellState& s, const wire::PeerMessage* answer, const Instant& at, CellActions& out) {
+        EntryRow* entry = findEntry(s, id);
+        if (!entry)
+            return;
+        if (answer && answer->has_count_answer() && answer->count_answer().known())
+            reply(s, id, makeCount(answer->count_answer().waiting()), out);
+        else
+            retryLater(*entry, at);
+    };
+    askPeer(state, state.membership.ownerAddress, std::move(query), kOwnerTimeout, then, now, actions);
+}
+
+// Cancelling.
+
+static void handleCancelStored(CellState& state, CallId id, const StoreReply& stored, const Instant& now, CellActions& actions)
+{
+    EntryRow* row = findEntry(state, id);
+    if (!row)
+        return;
+    if (stored.status == StoreStatus::Ok) {
+        note(actions, LogLevel::Info, "entry.cancel", "", row->jobId, "stored after " + std::to_string(toMilliseconds(now.steady - row->arrivedAt)) + " ms");
+        reply(state, id, makeReply(EntryOutcome::Cancelled), actions);
+        return;
+    }
+    row->maybeStored = row->maybeStored || stored.status == StoreStatus::NoAnswer;
+    retryLater(*row, now);
+}
+
+static void cancel(CellState& state, EntryRow& row, CellActions& actions)
+{
+    CallId id = row.call.id;
+    auto found = [id](CellState& s, const StoreReply& read, const Instant&, CellActions& out) {
+        EntryRow* entry = findEntry(s, id);
+        StoreChange command;
+        command.conditions = { { jobKey(entry->jobId), read.entries.front().modRevision } };
+        command.puts = { { cancelKey(entry->jobId), "cancelled", 0 } };
+        auto then = [id](CellState& s2, const StoreReply& stored, const Instant& at, CellActions& out2) { handleCancelStored(s2, id, stored, at, out2); };
+        change(s, std::move(command), then, out);
+    };
+    readJob(state, row, found, actions);
+}
+
+// All calls.
+
+static bool isJobId(const std::string& text)
+{
+    return text.size() == kIdLength && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+/// What is wrong with the call itself; nothing if it can be served.
+static std::optional<EntryReply> checkCall(const CellState& state, EntryRow& row)
+{
+    if (!state.policy)
+        return makeRefusal("no configuration has been read yet");
+    const Route* route = findRoute(*state.policy, row.call.host, row.call.path);
+    if (!route)
+        return makeReply(EntryOutcome::NoRoute, "no route for this host and path");
+    const Team* team = findTeamOfKey(*state.policy, row.call.key);
+    if (!team && !route->isPublic)
+        return makeReply(EntryOutcome::Unauthorized, "the key belongs to no team");
+    row.route = route->name;
+    row.team = team ? team->name : std::string();
+    row.jobId = row.call.path.substr(route->prefix.size());
+    bool isQueue = row.jobId.empty() && row.call.verb == Verb::Lookup;
+    if (!isQueue && !isJobId(row.jobId))
+        return makeReply(EntryOutcome::Malformed, "the path ends in no job id of 16 hexadecimal digits");
+    if (row.call.verb == Verb::Submit && !row.call.spec)
+        return makeReply(EntryOutcome::Malformed, "the body can't be read as a job");
+    return std::nullopt;
+}
+
+static void serve(CellState& state, EntryRow& row, const Instant& now, CellActions& actions)
+{
+    row.retrying = false;
+    if (row.call.verb == Verb::Submit)
+        store(state, row, now, actions);
+    else if (row.call.verb == Verb::Cancel)
+        cancel(state, row, actions);
+    else if (row.jobId.empty())
+        countQueue(state, row, now, actions);
+    else
+        lookUp(state, row, now, actions);
+}
+
+void handleEntryCall(CellState& state, const EntryCall& call, const Instant& now, CellActions& actions)
+{
+    EntryRow row;
+    row.call = call;
+    row.arrivedAt = now.steady;
+    Duration patience = call.patience > Duration(0) ? call.patience : kDefaultPatience;
+    row.giveUpAt = now.steady + std::chrono::duration_cast<Duration>(patience * kPatienceUsed);
+    std::optional<EntryReply> fault = checkCall(state, row);
+    if (fault) {
+        note(actions, LogLevel::Info, "entry.refuse", "", row.jobId, fault->reason);
+        reply(state, call.id, *fault, actions);
+        return;
+    }
+    EntryRow& kept = state.entries[call.id] = std::move(row);
+    bool needsStore = call.verb != Verb::Lookup;
+    if (needsStore && !isStoreReachable(state)) {
+        giveUp(state, EntryRow(kept), "the store is out of reach", actions);
+        return;
+    }
+    serve(state, kept, now, actions);
+}
+
+void tickEntry(CellState& state, const Instant& now, CellActions& actions)
+{
+    std::vector<CallId> due;
+    for (const auto& [id, row] : state.entries) {
+        if (now.steady >= row.giveUpAt || (row.retrying && now.steady >= row.retryAt))
+            due.push_back(id);
+    }
+    for (CallId id : due) {
+        EntryRow* row = findEntry(state, id);
+        if (now.steady >= row->giveUpAt || (row->retrying && row->call.verb != Verb::Lookup && !isStoreReachable(state)))
+            giveUp(state, EntryRow(*row), "the store or the owner didn't answer in time", actions);
+        else
+            serve(state, *row, now, actions);
+    }
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Fit.cpp
@@ -0,0 +1,54 @@
+#include "src/cell/Fit.h"
+
+#include <algorithm>
+
+namespace crocuslever::cell {
+
+Resources roomOn(const UpstreamRow& upstream) { return upstream.entry.capacity - upstream.used; }
+
+static int countFits(std::int64_t room, std::int64_t each, int most)
+{
+    if (each <= 0)
+        return most;
+    if (room < each)
+        return 0;
+    return static_cast<int>(std::min<std::int64_t>(room / each, most));
+}
+
+int countFits(const Resources& room, const Resources& each, int most)
+{
+    int n = countFits(room.milliCpu, each.milliCpu, most);
+    n = countFits(room.memoryMb, each.memoryMb, n);
+    return countFits(room.accelerators, each.accelerators, n);
+}
+
+/// A limit of 0 is none.
+static int countWithin(std::int64_t limit, std::int64_t used, std::int64_t each, int most)
+{
+    return limit <= 0 ? most : countFits(limit - used, each, most);
+}
+
+int countWithinLimit(const CellState& state, const std::string& team, const Resources& each, int most)
+{
+    if (!state.policy)
+        return 0;
+    auto it = state.policy->teams.find(team);
+    if (it == state.policy->teams.end())
+        return most;
+    auto use = state.teamUse.find(team);
+    Resources used = use == state.teamUse.end() ? Resources {} : use->second;
+    const Resources& limit = it->second.limit;
+    int n = countWithin(limit.milliCpu, used.milliCpu, each.milliCpu, most);
+    n = countWithin(limit.memoryMb, used.memoryMb, each.memoryMb, n);
+    return countWithin(limit.accelerators, used.accelerators, each.accelerators, n);
+}
+
+bool isSuitable(const StepSpec& step, const Route& route, const UpstreamRow& upstream)
+{
+    if (upstream.entry.service != route.service)
+        return false;
+    const std::vector<std::string>& labels = upstream.entry.labels;
+    return step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Fit.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "src/cell/CellState.h"
+
+namespace crocuslever::cell {
+
+/// Room left on an upstream; accelerators, memory and processor.
+Resources roomOn(const UpstreamRow&);
+
+/// How many tasks that take `each` fit into `room`, at most `most`.
+int countFits(const Resources& room, const Resources& each, int most);
+
+/// How many more tasks of this size the team's limit allows, at most `most`.
+int countWithinLimit(const CellState&, const std::string& team, const Resources& each, int most);
+
+/// Whether a step could run on this upstream if there were room: service and label.
+bool isSuitable(const StepSpec&, const Route&, const UpstreamRow&);
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Jobs.cpp
@@ -0,0 +1,324 @@
+#include "src/cell/Jobs.h"
+
+#include <algorithm>
+
+#include "src/cell/Ask.h"
+#include "src/cell/Keys.h"
+#include "src/cell/RecordCodec.h"
+#include "src/cell/Runs.h"
+
+namespace crocuslever::cell {
+
+/// A task that failed isn't placed again at once: the same fault would only repeat.
+static constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(50);
+static constexpr int kDefaultAttempts = 1;
+
+const char* toString(JobState state)
+{
+    switch (state) {
+    case JobState::Pending:
+        return "pending";
+    case JobState::Running:
+        return "running";
+    case JobState::Completed:
+        return "completed";
+    case JobState::Failed:
+        return "failed";
+    case JobState::Cancelled:
+        return "cancelled";
+    }
+    return "pending";
+}
+
+std::string formatTaskKey(const TaskKey& task)
+{
+    return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+std::string formatStepKey(const TaskKey& task)
+{
+    return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step);
+}
+
+static std::optional<int> takeNumber(std::string& text)
+{
+    std::size_t dot = text.rfind('.');
+    if (dot == std::string::npos || dot + 1 == text.size())
+        return std::nullopt;
+    std::string digits = text.substr(dot + 1);
+    constexpr std::size_t kMostDigits = 9;
+    if (digits.size() > kMostDigits || digits.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    text.resize(dot);
+    return std::atoi(digits.c_str());
+}
+
+std::optional<TaskKey> parseTaskKey(const std::string& text)
+{
+    std::string rest = text;
+    std::optional<int> index = takeNumber(rest);
+    std::optional<int> step = index ? takeNumber(rest) : std::nullopt;
+    std::optional<int> occurrence = step ? takeNumber(rest) : std::nullopt;
+    if (!occurrence || rest.empty())
+        return std::nullopt;
+    return TaskKey { rest, *occurrence, *step, *index };
+}
+
+JobRow* findJob(CellState& state, const std::string& id)
+{
+    auto it = state.jobs.find(id);
+    return it == state.jobs.end() ? nullptr : &it->second;
+}
+
+static StepRow* findStep(CellState& state, const TaskKey& key)
+{
+    JobRow* job = findJob(state, key.job);
+    if (!job || key.occurrence < 0 || key.step < 0)
+        return nullptr;
+    if (static_cast<std::size_t>(key.occurrence) >= job->occurrences.size())
+        return nullptr;
+    std::vector<StepRow>& steps = job->occurrences[key.occurrence].steps;
+    return static_cast<std::size_t>(key.step) < steps.size() ? &steps[key.step] : nullptr;
+}
+
+TaskRow* findTask(CellState& state, const TaskKey& key)
+{
+    StepRow* step = findStep(state, key);
+    if (!step || key.index < 0 || static_cast<std::size_t>(key.index) >= step->tasks.size())
+        return nullptr;
+    return &step->tasks[key.index];
+}
+
+const StepSpec& specOf(const JobRow& job, const TaskKey& key) { return job.record.spec.steps[key.step]; }
+
+void setPhase(CellState& state, const TaskKey& key, TaskPhase phase, TimePoint now)
+{
+    StepRow* step = findStep(state, key);
+    TaskRow& task = step->tasks[key.index];
+    if (task.phase == phase)
+        return;
+    step->waiting += (phase == TaskPhase::Waiting) - (task.phase == TaskPhase::Waiting);
+    step->done += (phase == TaskPhase::Done) - (task.phase == TaskPhase::Done);
+    task.phase = phase;
+    task.since = now;
+    state.placementDue = true;
+}
+
+static JobRow makeRow(const JobRecord& record, StoreRevision revision, TimePoint now)
+{
+    JobRow row;
+    row.record = record;
+    row.revision = revision;
+    row.occurrences.resize(std::max(1, record.spec.occurrences));
+    for (OccurrenceRow& occurrence : row.occurrences) {
+        for (const StepSpec& spec : record.spec.steps) {
+            StepRow step;
+            step.tasks.resize(std::max(0, spec.count));
+            for (TaskRow& task : step.tasks)
+                task.since = now;
+            step.waiting = static_cast<int>(step.tasks.size());
+            occurrence.steps.push_back(std::move(step));
+        }
+    }
+    return row;
+}
+
+static void endJob(CellState& state, JobRow& job, JobState ended, const std::string& why, const Instant& now, CellActions& actions)
+{
+    job.ended = ended;
+    state.commits.dirty.insert(job.record.id);
+    state.placementDue = true;
+    std::string age = std::to_string(now.wallMs - job.record.acceptedMs);
+    note(actions, LogLevel::Info, "job.end", "", job.record.id, std::string(toString(ended)) + " after " + age + " ms: " + why);
+    stopRunsOf(state, job.record.id, now, actions);
+}
+
+static void takeJob(CellState& state, const StoreEntry& entry, const Instant& now, CellActions& actions)
+{
+    std::string id = entry.key.substr(std::string(kJobPrefix).size());
+    if (state.jobs.count(id) > 0 || state.finished.count(id) > 0)
+        return;
+    std::optional<JobRecord> record = decodeJob(entry.value);
+    if (!record || record->id != id) {
+        note(actions, LogLevel::Error, "job.read", "", id, "the record in the store can't be read");
+        return;
+    }
+    JobRow& row = state.jobs.emplace(id, makeRow(*record, entry.modRevision, now.steady)).first->second;
+    state.placementDue = true;
+    if (state.cancels.count(id) > 0)
+        endJob(state, row, JobState::Cancelled, "cancelled by its team", now, actions);
+}
+
+static void takeCancel(CellState& state, const std::string& id, const Instant& now, CellActions& actions)
+{
+    JobRow* job = findJob(state, id);
+    if (state.finished.count(id) > 0 || (job && job->ended))
+        return;
+    state.cancels.insert(id);
+    if (job)
+        endJob(state, *job, JobState::Cancelled, "cancelled by its team", now, actions);
+}
+
+void takeQueueEntry(CellState& state, const StoreEntry& entry, const Instant& now, CellActions& actions)
+{
+    std::string cancelPrefix = kCancelPrefix;
+    if (entry.key.compare(0, cancelPrefix.size(), cancelPrefix) == 0)
+        takeCancel(state, entry.key.substr(cancelPrefix.size()), now, actions);
+    else
+        takeJob(state, entry, now, actions);
+}
+
+static bool isComplete(const JobRow& job)
+{
+    for (const OccurrenceRow& occurrence : job.occurrences) {
+        for (const StepRow& step : occurrence.steps) {
+            if (step.done < static_cast<int>(step.tasks.size()))
+                return false;
+        }
+    }
+    return true;
+}
+
+static void endIfComplete(CellState& state, JobRow& job, const Instant& now, CellActions& actions)
+{
+    if (!job.ended && isComplete(job))
+        endJob(state, job, JobState::Completed, "all tasks are done", now, actions);
+}
+
+static int attemptsOf(const CellState& state, const JobRow& job)
+{
+    const Route* route = state.policy ? findRouteByName(*state.policy, job.record.route) : nullptr;
+    return route ? route->attempts : kDefaultAttempts;
+}
+
+void takeProgressEntry(CellState& state, const StoreEntry& entry, const Instant& now, CellActions& actions)
+{
+    std::string id = entry.key.substr(std::string(kProgressPrefix).size());
+    JobRow* job = findJob(state, id);
+    std::optional<std::vector<TaskProgress>> tasks = decodeProgress(entry.value);
+    if (!job || !tasks)
+        return;
+    for (const TaskProgress& progress : *tasks) {
+        TaskKey key { id, progress.occurrence, progress.step, progress.index };
+        TaskRow* task = findTask(state, key);
+        if (!task)
+            continue;
+        task->failures = progress.failures;
+        task->run = progress.lastRun;
+        task->checkpoint = progress.checkpoint;
+        job->begun = true;
+        if (specOf(*job, key).gang)
+            findStep(state, key)->failedRuns = std::max(findStep(state, key)->failedRuns, progress.failures);
+        if (progress.done)
+            setPhase(state, key, TaskPhase::Done, now.steady);
+    }
+    endIfComplete(state, *job, now, actions);
+}
+
+static void markDone(CellState& state, JobRow& job, const TaskKey& key, TimePoint now)
+{
+    if (!specOf(job, key).gang) {
+        setPhase(state, key, TaskPhase::Done, now);
+        return;
+    }
+    // The members end together; one end speaks for all.
+    TaskKey member = key;
+    int count = static_cast<int>(findStep(state, key)->tasks.size());
+    for (member.index = 0; member.index < count; ++member.index)
+        setPhase(state, member, TaskPhase::Done, now);
+}
+
+/// True if the task, or its gang, has used up its attempts.
+static bool countFailure(CellState& state, JobRow& job, const TaskKey& key, int run)
+{
+    const StepSpec& spec = specOf(job, key);
+    TaskRow& task = *findTask(state, key);
+    ++task.failures;
+    if (spec.lasting)
+        return false;
+    if (!spec.gang)
+        return task.failures >= attemptsOf(state, job);
+    StepRow& step = *findStep(state, key);
+    if (step.lastFailedRun != run)
+        ++step.failedRuns;
+    step.lastFailedRun = run;
+    return step.failedRuns >= attemptsOf(state, job);
+}
+
+void takeRunEnd(CellState& state, const TaskKey& key, int run, RunEnd how, const std::string& checkpoint, const Instant& now, CellActions& actions)
+{
+    TaskRow* task = findTask(state, key);
+    JobRow* job = findJob(state, key.job);
+    if (!task || job->ended || task->phase == TaskPhase::Done || run < task->run)
+        return;
+    task->run = run;
+    job->begun = true;
+    if (!checkpoint.empty())
+        task->checkpoint = checkpoint;
+    state.commits.dirty.insert(key.job);
+    note(actions, LogLevel::Info, "task.end", task->upstream, key.job, formatTaskKey(key) + " run " + std::to_string(run) + " " + toString(how) + " after " + std::to_string(toMilliseconds(now.steady - task->since)) + " ms");
+    if (how == RunEnd::Done && !specOf(*job, key).lasting) {
+        markDone(state, *job, key, now.steady);
+        endIfComplete(state, *job, now, actions);
+        return;
+    }
+    bool isUsedUp = how == RunEnd::Failed && countFailure(state, *job, key, run);
+    if (how == RunEnd::Failed)
+        task->notBefore = now.steady + kPauseAfterFailure;
+    setPhase(state, key, TaskPhase::Waiting, now.steady);
+    if (isUsedUp)
+        endJob(state, *job, JobState::Failed, formatTaskKey(key) + " has failed as often as its route allows", now, actions);
+}
+
+bool isStepReady(const CellState& state, const JobRow& job, int occurrence, int step, std::int64_t wallMs)
+{
+    const JobSpec& spec = job.record.spec;
+    if (spec.occurrences > 0) {
+        std::int64_t due = spec.firstDueMs + occurrence * spec.intervalMs;
+        if (wallMs + toMilliseconds(state.settings.dueEarly) < due)
+            return false;
+    }
+    const std::vector<StepRow>& steps = job.occurrences[occurrence].steps;
+    for (int earlier : spec.steps[step].after) {
+        bool isKnown = earlier >= 0 && static_cast<std::size_t>(earlier) < steps.size();
+        if (isKnown && steps[earlier].done < static_cast<int>(steps[earlier].tasks.size()))
+            return false;
+    }
+    return true;
+}
+
+JobState stateOf(const JobRow& job)
+{
+    if (job.ended)
+        return *job.ended;
+    return job.begun ? JobState::Running : JobState::Pending;
+}
+
+std::int64_t countWaiting(const CellState& state, const std::string& route)
+{
+    return std::count_if(state.jobs.begin(), state.jobs.end(), [&route](const auto& item) {
+        const JobRow& job = item.second;
+        return job.record.route == route && !job.begun && !job.ended;
+    });
+}
+
+std::vector<TaskProgress> progressOf(const JobRow& job)
+{
+    std::vector<TaskProgress> all;
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+        const std::vector<StepRow>& steps = job.occurrences[k].steps;
+        for (std::size_t s = 0; s < steps.size(); ++s) {
+            for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
+                const TaskRow& task = steps[s].tasks[i];
+                bool isDone = task.phase == TaskPhase::Done;
+                bool isGang = job.record.spec.steps[s].gang;
+                int failures = isGang ? steps[s].failedRuns : task.failures;
+                if (isDone || failures > 0 || !task.checkpoint.empty())
+                    all.push_back({ static_cast<int>(k), static_cast<int>(s), static_cast<int>(i), isDone, failures, task.run, isDone ? std::string() : task.checkpoint });
+            }
+        }
+    }
+    return all;
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Jobs.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "src/cell/CellState.h"
+
+namespace crocuslever::cell {
+
+// The owner's table of jobs and what becomes of their tasks.
+
+/// A job or a cancellation, as read from the store.
+void takeQueueEntry(CellState&, const StoreEntry&, const Instant& now, CellActions&);
+/// Results of a job's tasks, as read from the store.
+void takeProgressEntry(CellState&, const StoreEntry&, const Instant& now, CellActions&);
+
+/// Null: no such job or task.
+JobRow* findJob(CellState&, const std::string& id);
+TaskRow* findTask(CellState&, const TaskKey&);
+const StepSpec& specOf(const JobRow&, const TaskKey&);
+
+/// Moves a task to another phase and keeps the step's counts.
+void setPhase(CellState&, const TaskKey&, TaskPhase, TimePoint now);
+
+/// A run of the task has ended, whoever stopped it. Ends of runs before the
+/// latest change nothing.
+void takeRunEnd(CellState&, const TaskKey&, int run, RunEnd, const std::string& checkpoint, const Instant& now, CellActions&);
+
+/// True if all steps that this one comes after are done and its time has come.
+bool isStepReady(const CellState&, const JobRow&, int occurrence, int step, std::int64_t wallMs);
+
+JobState stateOf(const JobRow&);
+/// Jobs of the route of which no task has started yet.
+std::int64_t countWaiting(const CellState&, const std::string& route);
+
+/// What is to be stored of the job's tasks.
+std::vector<TaskProgress> progressOf(const JobRow&);
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Membership.cpp
@@ -0,0 +1,142 @@
+#include "src/cell/Membership.h"
+
+#include "src/cell/Ask.h"
+#include "src/cell/Keys.h"
+#include "src/cell/Ownership.h"
+#include "src/cell/RecordCodec.h"
+
+namespace crocuslever::cell {
+
+static constexpr Duration kRenewalInterval = std::chrono::milliseconds(350);
+static constexpr Duration kListInterval = std::chrono::milliseconds(300);
+static constexpr Duration kRetryInterval = std::chrono::milliseconds(150);
+/// An instance that has left the store's list is still known for this long; the store may have been away.
+static constexpr Duration kRememberInstance = std::chrono::seconds(10);
+
+static void handleRegistered(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+{
+    Membership& membership = state.membership;
+    membership.registering = false;
+    membership.registered = reply.status == StoreStatus::Ok;
+    if (membership.registered) {
+        note(actions, LogLevel::Info, "membership", "", "", "registered in the store with lease " + std::to_string(membership.lease));
+        return;
+    }
+    if (reply.status == StoreStatus::NotFound)
+        membership.lease = 0;
+    membership.nextRenewal = now.steady + kRetryInterval;
+}
+
+static void registerInstance(CellState& state, CellActions& actions)
+{
+    state.membership.registering = true;
+    StoreChange command;
+    std::string record = encodeInstance({ state.settings.address, state.settings.incarnation });
+    command.puts.push_back({ kInstancePrefix + state.settings.instance, record, state.membership.lease });
+    change(state, std::move(command), handleRegistered, actions);
+}
+
+static void handleLease(CellState& state, const StoreReply& reply, TimePoint sentAt, const Instant& now, CellActions& actions)
+{
+    Membership& membership = state.membership;
+    membership.granting = false;
+    membership.renewing = false;
+    if (reply.status == StoreStatus::Ok) {
+        if (reply.lease != 0)
+            membership.lease = reply.lease;
+        membership.renewedAt = sentAt;
+        membership.nextRenewal = now.steady + kRenewalInterval;
+        return;
+    }
+    membership.nextRenewal = now.steady + kRetryInterval;
+    if (reply.status != StoreStatus::NotFound)
+        return;
+    note(actions, LogLevel::Warning, "membership", "", "", "the store has ended lease " + std::to_string(membership.lease));
+    membership.lease = 0;
+    membership.registered = false;
+    membership.nextRenewal = now.steady;
+}
+
+static void keepLease(CellState& state, const Instant& now, CellActions& actions)
+{
+    Membership& membership = state.membership;
+    if (membership.granting || membership.renewing || now.steady < membership.nextRenewal)
+        return;
+    TimePoint sentAt = now.steady;
+    auto then = [sentAt](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) { handleLease(s, reply, sentAt, at, out); };
+    if (membership.lease == 0) {
+        membership.granting = true;
+        grantLease(state, state.settings.instanceLease, then, actions);
+    } else {
+        membership.renewing = true;
+        renewLease(state, membership.lease, then, actions);
+    }
+}
+
+static void takeInstance(CellState& state, const StoreEntry& entry, TimePoint now)
+{
+    std::optional<InstanceRecord> record = decodeInstance(entry.value);
+    if (!record)
+        return;
+    std::string name = entry.key.substr(std::string(kInstancePrefix).size());
+    state.membership.instances[name] = { record->address, record->incarnation, now };
+}
+
+static void forgetInstances(Membership& membership, TimePoint now)
+{
+    for (auto it = membership.instances.begin(); it != membership.instances.end();)
+        it = now - it->second.lastSeen > kRememberInstance ? membership.instances.erase(it) : std::next(it);
+}
+
+static void handleList(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+{
+    Membership& membership = state.membership;
+    membership.listing = false;
+    if (reply.status != StoreStatus::Ok) {
+        membership.nextList = now.steady + kRetryInterval;
+        return;
+    }
+    membership.nextList = now.steady + kListInterval;
+    membership.listedAt = now.steady;
+    std::optional<OwnerRecord> owner;
+    for (const StoreEntry& entry : reply.entries) {
+        if (entry.key == kEpochKey) {
+            membership.epoch = std::atoll(entry.value.c_str());
+            membership.epochRevision = entry.modRevision;
+        } else if (entry.key == kOwnerKey) {
+            owner = decodeOwner(entry.value);
+        } else {
+            takeInstance(state, entry, now.steady);
+        }
+    }
+    forgetInstances(membership, now.steady);
+    takeOwner(state, owner ? *owner : OwnerRecord {}, now, actions);
+}
+
+static void listInstances(CellState& state, const Instant& now, CellActions& actions)
+{
+    if (state.membership.listing || now.steady < state.membership.nextList)
+        return;
+    state.membership.listing = true;
+    listKeys(state, kCellPrefix, handleList, actions);
+}
+
+void tickMembership(CellState& state, const Instant& now, CellActions& actions)
+{
+    if (state.stopped)
+        return;
+    keepLease(state, now, actions);
+    Membership& membership = state.membership;
+    if (membership.lease != 0 && !membership.registered && !membership.registering && now.steady >= membership.nextRenewal - kRenewalInterval)
+        registerInstance(state, actions);
+    listInstances(state, now, actions);
+}
+
+void leaveCell(CellState& state, CellActions& actions)
+{
+    if (state.membership.lease != 0)
+        actions.push_back(LeaseEnd { state.membership.lease });
+    state.membership.lease = 0;
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Ownership.cpp
@@ -0,0 +1,310 @@
+#include "src/cell/Ownership.h"
+
+#include "src/cell/Ask.h"
+#include "src/cell/Jobs.h"
+#include "src/cell/Keys.h"
+#include "src/cell/Upstreams.h"
+
+namespace crocuslever::cell {
+
+static constexpr Duration kListFreshness = std::chrono::milliseconds(1000);
+static constexpr std::uint64_t kAttemptSpreadMs = 60; ///< Candidates don't all write at once.
+static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+static constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
+static constexpr int kRecoveryReads = 3; ///< Known upstreams, queue and progress.
+/// An upstream's clock may run this much slower than ours.
+static constexpr double kSlowClock = 1.03;
+
+bool isOwner(const CellState& state)
+{
+    return state.ownership.phase == OwnerPhase::Deciding;
+}
+
+bool mayOrder(const CellState& state, TimePoint now)
+{
+    return isOwner(state) && now - state.membership.renewedAt < state.settings.ownerSilence;
+}
+
+void loseOwnership(CellState& state, const std::string& why, CellActions& actions)
+{
+    note(actions, LogLevel::Warning, "ownership", "", "", "stopped deciding with token " + std::to_string(state.ownership.token) + ": " + why);
+    state.ownership = Ownership {};
+    state.jobs.clear();
+    state.finished.clear();
+    state.cancels.clear();
+    state.upstreams.clear();
+    state.teamUse.clear();
+    state.commits = CommitQueue {};
+    state.adviceLoads.clear();
+    state.orders.clear();
+    state.looks.clear();
+    state.adviceCalls.clear();
+}
+
+static void beginRecovery(CellState&, const Instant& now, CellActions&);
+
+static void startOwning(CellState& state, std::int64_t token, StoreRevision guard, const Instant& now, CellActions& actions)
+{
+    Ownership& ownership = state.ownership;
+    ownership.phase = OwnerPhase::Recovering;
+    ownership.token = token;
+    ownership.guard = guard;
+    ownership.since = now.steady;
+    Membership& membership = state.membership;
+    membership.ownerInstance = state.settings.instance;
+    membership.ownerAddress = state.settings.address;
+    membership.ownerToken = token;
+    note(actions, LogLevel::Info, "ownership", "", "", "owns the cell with token " + std::to_string(token) + ", after " + (ownership.predecessor.empty() ? "nobody known" : ownership.predecessor));
+    beginRecovery(state, now, actions);
+}
+
+static bool isRestarted(const CellState& state, const std::string& instance, const std::string& incarnation)
+{
+    auto it = state.membership.instances.find(instance);
+    return it != state.membership.instances.end() && it->second.incarnation != incarnation;
+}
+
+void takeOwner(CellState& state, const OwnerRecord& owner, const Instant& now, CellActions& actions)
+{
+    Membership& membership = state.membership;
+    Ownership& ownership = state.ownership;
+    if (ownership.phase != OwnerPhase::None && ownership.phase != OwnerPhase::Acquiring) {
+        if (membership.epoch > ownership.token)
+            loseOwnership(state, "another instance acquired the cell with token " + std::to_string(membership.epoch), actions);
+        else {
+            membership.ownerInstance = owner.instance;
+            return;
+        }
+    }
+    bool isOurs = owner.instance == state.settings.instance && owner.incarnation == state.settings.incarnation;
+    // The answer to our own attempt was lost.
+    if (isOurs && ownership.phase == OwnerPhase::None && owner.token == membership.epoch && !state.stopping) {
+        startOwning(state, owner.token, membership.epochRevision, now, actions);
+        return;
+    }
+    if (owner.instance.empty() && !membership.ownerAddress.empty()) {
+        note(actions, LogLevel::Info, "ownership", membership.ownerInstance, "", "the cell has no owner any more");
+        ownership.nextAttempt = now.steady + fromMilliseconds(static_cast<std::int64_t>(randomBelow(state, kAttemptSpreadMs)));
+    }
+    if (!owner.instance.empty()) {
+        if (owner.token != membership.ownerToken)
+            membership.ownerSilentUntil = {};
+        ownership.predecessor = owner.instance;
+        ownership.predecessorIncarnation = owner.incarnation;
+        membership.ownerToken = owner.token;
+    }
+    membership.ownerInstance = owner.instance;
+    membership.ownerAddress = owner.address;
+}
+
+static StorePut ownerPut(const CellState& state, std::int64_t token)
+{
+    OwnerRecord record { state.settings.instance, state.settings.address, state.settings.incarnation, token };
+    return { kOwnerKey, encodeOwner(record), state.membership.lease };
+}
+
+static void acquire(CellState& state, CellActions& actions)
+{
+    Membership& membership = state.membership;
+    state.ownership.phase = OwnerPhase::Acquiring;
+    std::int64_t token = membership.epoch + 1;
+    StoreChange command;
+    command.conditions = { { kEpochKey, membership.epochRevision }, { kOwnerKey, 0 } };
+    command.puts = { { kEpochKey, std::to_string(token), 0 }, ownerPut(state, token) };
+    auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
+        if (s.ownership.phase != OwnerPhase::Acquiring)
+            return;
+        s.ownership.phase = OwnerPhase::None;
+        s.ownership.nextAttempt = at.steady + kRetryInterval;
+        s.membership.nextList = at.steady;
+        if (reply.status == StoreStatus::Ok && !s.stopping)
+            startOwning(s, token, reply.revision, at, out);
+    };
+    change(state, std::move(command), then, actions);
+}
+
+static bool isRecoveryOf(const CellState& state, std::int64_t token)
+{
+    return state.ownership.phase == OwnerPhase::Recovering && state.ownership.token == token;
+}
+
+static void finishRead(CellState& state, const Instant& now, CellActions& actions)
+{
+    Ownership& ownership = state.ownership;
+    if (--ownership.readsLeft > 0)
+        return;
+    ownership.phase = OwnerPhase::Deciding;
+    state.placementDue = true;
+    note(actions, LogLevel::Info, "ownership", "", "", "read " + std::to_string(state.jobs.size()) + " jobs and " + std::to_string(ownership.earlierUpstreams.size()) + " known upstreams in " + std::to_string(toMilliseconds(now.steady - ownership.since)) + " ms");
+}
+
+using ReadHandler = void (*)(CellState&, const StoreReply&, const Instant&, CellActions&);
+
+/// Reads a prefix until it succeeds; one of the reads of a recovery.
+static void readForRecovery(CellState& state, const std::string& prefix, ReadHandler take, CellActions& actions)
+{
+    std::int64_t token = state.ownership.token;
+    auto then = [prefix, take, token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
+        if (!isRecoveryOf(s, token))
+            return;
+        if (reply.status != StoreStatus::Ok) {
+            note(out, LogLevel::Warning, "ownership", "", "", "reading " + prefix + " failed; it is tried again");
+            readForRecovery(s, prefix, take, out);
+            return;
+        }
+        take(s, reply, at, out);
+        finishRead(s, at, out);
+    };
+    listKeys(state, prefix, then, actions);
+}
+
+static void takeKnownUpstreams(CellState& state, const StoreReply& reply, const Instant& now, CellActions&)
+{
+    Ownership& ownership = state.ownership;
+    for (const StoreEntry& entry : reply.entries) {
+        std::optional<std::vector<UpstreamTarget>> targets = decodeUpstreams(entry.value);
+        if (targets)
+            ownership.earlierUpstreams = *targets;
+    }
+    for (const UpstreamTarget& target : ownership.earlierUpstreams)
+        addEarlierUpstream(state, target, now.steady);
+}
+
+static void takeQueue(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+{
+    state.ownership.watchFrom = reply.revision;
+    for (const StoreEntry& entry : reply.entries)
+        takeQueueEntry(state, entry, now, actions);
+}
+
+static void takeAllProgress(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+{
+    for (const StoreEntry& entry : reply.entries)
+        takeProgressEntry(state, entry, now, actions);
+}
+
+/// The queue goes before the progress, which is of no use without its job.
+static void readQueueForRecovery(CellState& state, CellActions& actions)
+{
+    std::int64_t token = state.ownership.token;
+    auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
+        if (!isRecoveryOf(s, token))
+            return;
+        if (reply.status != StoreStatus::Ok) {
+            readQueueForRecovery(s, out);
+            return;
+        }
+        takeQueue(s, reply, at, out);
+        finishRead(s, at, out);
+        readForRecovery(s, kProgressPrefix, takeAllProgress, out);
+    };
+    listKeys(state, kQueuePrefix, then, actions);
+}
+
+static void beginRecovery(CellState& state, const Instant& now, CellActions& actions)
+{
+    Ownership& ownership = state.ownership;
+    ownership.readsLeft = kRecoveryReads;
+    bool isPredecessorGone = ownership.predecessor.empty() || isRestarted(state, ownership.predecessor, ownership.predecessorIncarnation);
+    Duration wait = state.settings.runLease + (isPredecessorGone ? Duration(0) : state.settings.ownerSilence);
+    ownership.strangersEnd = now.steady + std::chrono::duration_cast<Duration>(wait * kSlowClock);
+    readForRecovery(state, kUpstreamsKey, takeKnownUpstreams, actions);
+    readQueueForRecovery(state, actions);
+}
+
+static void handleQueueChanges(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+{
+    for (const StoreEntry& entry : reply.entries)
+        takeQueueEntry(state, entry, now, actions);
+    state.ownership.watchFrom = std::max(state.ownership.watchFrom, reply.revision);
+}
+
+static void readQueueAnew(CellState& state, CellActions& actions)
+{
+    std::int64_t token = state.ownership.token;
+    auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
+        if (!isOwner(s) || s.ownership.token != token)
+            return;
+        s.ownership.watch = 0;
+        s.ownership.nextWatch = at.steady + (reply.status == StoreStatus::Ok ? Duration(0) : kRetryInterval);
+        if (reply.status != StoreStatus::Ok)
+            return;
+        takeQueue(s, reply, at, out);
+    };
+    listKeys(state, kQueuePrefix, then, actions);
+}
+
+static void watchQueue(CellState& state, const Instant& now, CellActions& actions)
+{
+    Ownership& ownership = state.ownership;
+    if (ownership.watch != 0 || now.steady < ownership.nextWatch)
+        return;
+    std::int64_t token = ownership.token;
+    auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
+        if (!isOwner(s) || s.ownership.token != token)
+            return;
+        if (reply.status == StoreStatus::HistoryLost) {
+            note(out, LogLevel::Warning, "ownership", "", "", "the store no longer knows the changes since revision " + std::to_string(s.ownership.watchFrom) + "; the queue is read anew");
+            readQueueAnew(s, out);
+            return;
+        }
+        s.ownership.watch = 0;
+        if (reply.status == StoreStatus::Ok)
+            handleQueueChanges(s, reply, at, out);
+        else
+            s.ownership.nextWatch = at.steady + kRetryInterval;
+    };
+    ownership.watch = awaitChanges(state, kQueuePrefix, ownership.watchFrom, kWatchWait, then, actions);
+}
+
+/// Puts the owner's key back after the store has ended our lease, unless somebody was faster.
+static void reown(CellState& state, CellActions& actions)
+{
+    Ownership& ownership = state.ownership;
+    ownership.reowning = true;
+    StoreChange command;
+    command.conditions = { { kEpochKey, ownership.guard }, { kOwnerKey, 0 } };
+    command.puts = { ownerPut(state, ownership.token) };
+    std::int64_t token = ownership.token;
+    auto then = [token](CellState& s, const StoreReply& reply, const Instant&, CellActions& out) {
+        if (!isOwner(s) || s.ownership.token != token)
+            return;
+        s.ownership.reowning = false;
+        if (reply.status == StoreStatus::Ok)
+            note(out, LogLevel::Info, "ownership", "", "", "owns the cell again with token " + std::to_string(token));
+    };
+    change(state, std::move(command), then, actions);
+}
+
+static bool isOwnerKeyMissing(const CellState& state)
+{
+    return state.membership.ownerInstance != state.settings.instance;
+}
+
+void tickOwnership(CellState& state, const Instant& now, CellActions& actions)
+{
+    Ownership& ownership = state.ownership;
+    Membership& membership = state.membership;
+    if (isOwner(state)) {
+        watchQueue(state, now, actions);
+        if (isOwnerKeyMissing(state) && membership.registered && !ownership.reowning)
+            reown(state, actions);
+        return;
+    }
+    bool isListFresh = membership.listedAt != TimePoint() && now.steady - membership.listedAt < kListFreshness;
+    bool mayAcquire = ownership.phase == OwnerPhase::None && membership.registered && isListFresh && membership.ownerAddress.empty();
+    if (mayAcquire && !state.stopping && now.steady >= ownership.nextAttempt)
+        acquire(state, actions);
+}
+
+void releaseOwnership(CellState& state, const Instant&, CellActions& actions)
+{
+    StoreChange command;
+    command.conditions = { { kEpochKey, state.ownership.guard } };
+    command.deletes = { kOwnerKey };
+    auto ignore = [](CellState&, const StoreReply&, const Instant&, CellActions&) {};
+    change(state, std::move(command), ignore, actions);
+    loseOwnership(state, "this instance is stopping", actions);
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Ownership.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "src/cell/CellState.h"
+#include "src/cell/RecordCodec.h"
+
+namespace crocuslever::cell {
+
+/// Takes in what the store says of the cell's owner; an empty instance: none.
+void takeOwner(CellState&, const OwnerRecord&, const Instant& now, CellActions&);
+
+/// Acquires an ownerless cell, reads what the store holds of it, and keeps
+/// watch on its jobs.
+void tickOwnership(CellState&, const Instant& now, CellActions&);
+
+/// True while this instance decides for the cell and may give orders to
+/// upstreams. An owner without a renewed lease stops before its leases on
+/// upstreams could outlast a successor's wait.
+bool mayOrder(const CellState&, TimePoint now);
+bool isOwner(const CellState&);
+
+/// Stops deciding and forgets all that only the owner has.
+void loseOwnership(CellState&, const std::string& why, CellActions&);
+/// Gives the cell up, so that another instance acquires it at once.
+void releaseOwnership(CellState&, const Instant& now, CellActions&);
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/PeerCalls.cpp
@@ -0,0 +1,107 @@
+#include "src/cell/PeerCalls.h"
+
+#include "cell.pb.h"
+#include "src/cell/Advice.h"
+#include "src/cell/Ask.h"
+#include "src/cell/Entry.h"
+#include "src/cell/Jobs.h"
+#include "src/cell/Ownership.h"
+
+namespace crocuslever::cell {
+
+namespace wire = crocuslever::cellwire;
+
+static void send(const CellState& state, const std::string& address, wire::PeerMessage message, CellActions& actions)
+{
+    message.set_sender(state.settings.address);
+    actions.push_back(SendPeerFrame { address, message.SerializeAsString() });
+}
+
+void askPeer(CellState& state, const std::string& address, wire::PeerMessage query, Duration timeout, PeerContinuation then, const Instant& now, CellActions& actions)
+{
+    std::uint64_t call = state.nextTicket++;
+    query.set_call(call);
+    state.peerCalls.emplace(call, PeerCall { now.steady + timeout, std::move(then) });
+    send(state, address, std::move(query), actions);
+}
+
+void answerPeer(CellState& state, const std::string& address, std::uint64_t call, wire::PeerMessage answer, CellActions& actions)
+{
+    answer.set_call(call);
+    send(state, address, std::move(answer), actions);
+}
+
+static void answerJobQuery(CellState& state, const wire::PeerMessage& query, CellActions& actions)
+{
+    wire::PeerMessage answer;
+    std::optional<JobState> found = lookUpJob(state, query.job_query().id());
+    answer.mutable_job_answer()->set_known(found.has_value());
+    answer.mutable_job_answer()->set_state(static_cast<int>(found.value_or(JobState::Pending)));
+    answerPeer(state, query.sender(), query.call(), std::move(answer), actions);
+}
+
+static void answerCountQuery(CellState& state, const wire::PeerMessage& query, CellActions& actions)
+{
+    wire::PeerMessage answer;
+    answer.mutable_count_answer()->set_known(isOwner(state));
+    answer.mutable_count_answer()->set_waiting(countWaiting(state, query.count_query().route()));
+    answerPeer(state, query.sender(), query.call(), std::move(answer), actions);
+}
+
+static void passOnAdviceQuery(CellState& state, const wire::PeerMessage& query, CellActions& actions)
+{
+    AskAdvice ask;
+    ask.step = query.advice_query().step();
+    ask.upstreams.assign(query.advice_query().upstreams().begin(), query.advice_query().upstreams().end());
+    ask.timeout = fromMilliseconds(query.advice_query().timeout_ms());
+    answerAdviceQuery(state, query.sender(), query.call(), ask, actions);
+}
+
+static void handleAnswer(CellState& state, const wire::PeerMessage& answer, const Instant& now, CellActions& actions)
+{
+    auto it = state.peerCalls.find(answer.call());
+    if (it == state.peerCalls.end())
+        return;
+    PeerContinuation then = std::move(it->second.then);
+    state.peerCalls.erase(it);
+    then(state, &answer, now, actions);
+}
+
+void handlePeerFrame(CellState& state, const PeerFrame& frame, const Instant& now, CellActions& actions)
+{
+    wire::PeerMessage message;
+    if (!message.ParseFromString(frame.bytes)) {
+        note(actions, LogLevel::Warning, "peer.receive", frame.from, "", "a message of " + std::to_string(frame.bytes.size()) + " bytes can't be read");
+        return;
+    }
+    switch (message.body_case()) {
+    case wire::PeerMessage::kJobQuery:
+        answerJobQuery(state, message, actions);
+        return;
+    case wire::PeerMessage::kCountQuery:
+        answerCountQuery(state, message, actions);
+        return;
+    case wire::PeerMessage::kAdviceQuery:
+        passOnAdviceQuery(state, message, actions);
+        return;
+    default:
+        handleAnswer(state, message, now, actions);
+    }
+}
+
+void tickPeerCalls(CellState& state, const Instant& now, CellActions& actions)
+{
+    std::vector<PeerContinuation> late;
+    for (auto it = state.peerCalls.begin(); it != state.peerCalls.end();) {
+        if (now.steady < it->second.deadline) {
+            ++it;
+            continue;
+        }
+        late.push_back(std::move(it->second.then));
+        it = state.peerCalls.erase(it);
+    }
+    for (const PeerContinuation& then : late)
+        then(state, nullptr, now, actions);
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Placement.cpp
@@ -0,0 +1,305 @@
+#include "src/cell/Placement.h"
+
+#include <algorithm>
+
+#include "src/cell/Advice.h"
+#include "src/cell/Ask.h"
+#include "src/cell/Fit.h"
+#include "src/cell/Jobs.h"
+#include "src/cell/Ownership.h"
+#include "src/cell/Runs.h"
+#include "src/cell/Upstreams.h"
+
+namespace crocuslever::cell {
+
+static constexpr Duration kPassInterval = std::chrono::milliseconds(5);
+/// Time alone makes work ready: occurrences fall due, pauses end, tickets lapse.
+static constexpr Duration kIdlePassInterval = std::chrono::milliseconds(50);
+/// A job is of no use to its submitter after this many times its objective.
+static constexpr double kUselessAfter = 3.0;
+
+namespace {
+
+/// A step with tasks to place, and what decides its turn.
+struct Candidate {
+    JobRow* job { nullptr };
+    const Route* route { nullptr };
+    TaskKey step; ///< `index` is unused.
+    bool isUseless { false };
+    int priority { 0 };
+    std::int64_t acceptedMs { 0 };
+
+    bool operator<(const Candidate& other) const
+    {
+        return std::tie(isUseless, priority, acceptedMs, step) < std::tie(other.isUseless, other.priority, other.acceptedMs, other.step);
+    }
+};
+
+/// An upstream that can take tasks of a step, and how many.
+struct Place {
+    UpstreamRow* upstream { nullptr };
+    int fits { 0 };
+    std::int64_t leftMilliCpu { 0 }; ///< After one task.
+    bool isNearData { false };
+};
+
+} // namespace
+
+static StepRow& rowOf(const Candidate& candidate)
+{
+    return candidate.job->occurrences[candidate.step.occurrence].steps[candidate.step.step];
+}
+
+static const StepSpec& specOf(const Candidate& candidate) { return specOf(*candidate.job, candidate.step); }
+
+/// The longest chain of steps, by the submitter's estimates.
+static Duration estimateChain(const JobSpec& spec)
+{
+    std::vector<Duration> ends;
+    Duration longest { 0 };
+    for (const StepSpec& step : spec.steps) {
+        Duration start { 0 };
+        for (int earlier : step.after) {
+            if (earlier >= 0 && static_cast<std::size_t>(earlier) < ends.size())
+                start = std::max(start, ends[earlier]);
+        }
+        ends.push_back(start + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+static bool isUseless(const JobRow& job, const Route& route, std::int64_t wallMs)
+{
+    if (job.record.spec.occurrences > 0)
+        return false;
+    double objectiveMs = route.stretch * toMilliseconds(estimateChain(job.record.spec)) + toMilliseconds(route.targetDuration);
+    return wallMs - job.record.acceptedMs > kUselessAfter * objectiveMs;
+}
+
+/// Tasks of a predecessor's jobs may run where this owner hasn't looked yet.
+static bool mayRunElsewhere(const CellState& state, const JobRow& job)
+{
+    return !state.ownership.areStrangersKnown && job.revision <= state.ownership.guard;
+}
+
+static void addCandidates(const CellState& state, JobRow& job, const Instant& now, std::vector<Candidate>& all)
+{
+    const Route* route = findRouteByName(*state.policy, job.record.route);
+    if (!route || job.ended || mayRunElsewhere(state, job))
+        return;
+    bool useless = isUseless(job, *route, now.wallMs);
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+        std::vector<StepRow>& steps = job.occurrences[k].steps;
+        for (std::size_t s = 0; s < steps.size(); ++s) {
+            int occurrence = static_cast<int>(k);
+            int step = static_cast<int>(s);
+            if (steps[s].waiting > 0 && isStepReady(state, job, occurrence, step, now.wallMs))
+                all.push_back({ &job, route, { job.record.id, occurrence, step, 0 }, useless, route->priority, job.record.acceptedMs });
+        }
+    }
+}
+
+static std::vector<Candidate> collectCandidates(CellState& state, const Instant& now)
+{
+    std::vector<Candidate> all;
+    for (auto& [id, job] : state.jobs)
+        addCandidates(state, job, now, all);
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+static int countOnUpstream(const UpstreamRow& upstream, const TaskKey& step)
+{
+    return static_cast<int>(std::count_if(upstream.runs.begin(), upstream.runs.end(), [&step](const auto& item) {
+        const TaskKey& key = item.second.task;
+        return key.job == step.job && key.occurrence == step.occurrence && key.step == step.step;
+    }));
+}
+
+static int countPlaces(const Candidate& candidate, const UpstreamRow& upstream, int most)
+{
+    const StepSpec& spec = specOf(candidate);
+    int n = countFits(roomOn(upstream), amountOf(spec), most);
+    if (n > 0 && spec.mostPerUpstream > 0)
+        n = std::min(n, spec.mostPerUpstream - countOnUpstream(upstream, candidate.step));
+    return std::max(n, 0);
+}
+
+static std::vector<Place> findPlaces(CellState& state, const Candidate& candidate, int most, TimePoint now)
+{
+    const StepSpec& spec = specOf(candidate);
+    std::vector<Place> places;
+    for (auto& [id, upstream] : state.upstreams) {
+        if (!takesWork(state, upstream, now) || !isSuitable(spec, *candidate.route, upstream))
+            continue;
+        if (candidate.route->advice && !findTicket(rowOf(candidate), upstream, now))
+            continue;
+        int fits = countPlaces(candidate, upstream, most);
+        bool isNear = spec.dataRack.empty() || spec.dataRack == upstream.entry.rack;
+        if (fits > 0)
+            places.push_back({ &upstream, fits, roomOn(upstream).milliCpu - spec.each.milliCpu, isNear });
+    }
+    // The tightest fit keeps large rooms for large tasks.
+    std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
+        return std::make_tuple(!a.isNearData, a.leftMilliCpu, a.upstream->entry.id) < std::make_tuple(!b.isNearData, b.leftMilliCpu, b.upstream->entry.id);
+    });
+    return places;
+}
+
+static RunRow makeRun(CellState& state, const Candidate& candidate, const TaskKey& key, int run, const UpstreamRow& upstream, TimePoint now)
+{
+    RunRow row;
+    row.task = key;
+    row.run = run;
+    row.amount = amountOf(specOf(candidate));
+    row.team = candidate.job->record.team;
+    row.payload = candidate.job->record.spec.payload;
+    row.checkpoint = findTask(state, key)->checkpoint;
+    const std::string* ticket = candidate.route->advice ? findTicket(rowOf(candidate), upstream, now) : nullptr;
+    if (ticket)
+        row.advice = *ticket;
+    return row;
+}
+
+static void place(CellState& state, const Candidate& candidate, const RunRow& run, UpstreamRow& upstream, const Instant& now, CellActions& actions)
+{
+    std::string age = std::to_string(now.wallMs - candidate.job->record.acceptedMs);
+    std::string room = std::to_string(roomOn(upstream).milliCpu);
+    note(actions, LogLevel::Info, "task.start", upstream.entry.id, candidate.job->record.id, formatTaskKey(run.task) + " run " + std::to_string(run.run) + " at age " + age + " ms, room " + room + " mcpu");
+    startRun(state, upstream, run, now, actions);
+}
+
+static std::vector<TaskKey> waitingTasks(const Candidate& candidate, TimePoint now)
+{
+    std::vector<TaskKey> keys;
+    const StepRow& row = rowOf(candidate);
+    for (std::size_t i = 0; i < row.tasks.size(); ++i) {
+        TaskKey key = candidate.step;
+        key.index = static_cast<int>(i);
+        if (row.tasks[i].phase == TaskPhase::Waiting && now >= row.tasks[i].notBefore)
+            keys.push_back(key);
+    }
+    return keys;
+}
+
+/// A task that failed somewhere goes elsewhere if it can.
+static Place* choosePlace(CellState& state, const TaskKey& key, std::vector<Place>& places)
+{
+    const TaskRow& task = *findTask(state, key);
+    Place* second = nullptr;
+    for (Place& it : places) {
+        if (it.fits <= 0)
+            continue;
+        if (task.failures == 0 || it.upstream->entry.id != task.upstream)
+            return &it;
+        second = &it;
+    }
+    return second;
+}
+
+/// Starts as many as there is room for. False: some are left.
+static bool placeSingles(CellState& state, const Candidate& candidate, const Instant& now, CellActions& actions)
+{
+    std::vector<TaskKey> keys = waitingTasks(candidate, now.steady);
+    int count = static_cast<int>(keys.size());
+    int allowed = countWithinLimit(state, candidate.job->record.team, amountOf(specOf(candidate)), count);
+    if (allowed == 0)
+        return true;
+    std::vector<Place> places = findPlaces(state, candidate, allowed, now.steady);
+    for (int i = 0; i < allowed; ++i) {
+        Place* it = choosePlace(state, keys[i], places);
+        if (!it)
+            return false;
+        --it->fits;
+        int run = findTask(state, keys[i])->run + 1;
+        place(state, candidate, makeRun(state, candidate, keys[i], run, *it->upstream, now.steady), *it->upstream, now, actions);
+    }
+    return true;
+}
+
+/// The places of one rack, if that rack takes all; else nothing.
+static std::vector<Place> findRack(const std::vector<Place>& places, int count)
+{
+    std::map<std::string, int> fits;
+    for (const Place& it : places)
+        fits[it.upstream->entry.rack] += it.fits;
+    for (const auto& [rack, n] : fits) {
+        if (n < count)
+            continue;
+        std::vector<Place> chosen;
+        std::copy_if(places.begin(), places.end(), std::back_inserter(chosen), [&rack](const Place& it) { return it.upstream->entry.rack == rack; });
+        return chosen;
+    }
+    return {};
+}
+
+static int nextGangRun(const StepRow& row)
+{
+    int run = 0;
+    for (const TaskRow& task : row.tasks)
+        run = std::max(run, task.run);
+    return run + 1;
+}
+
+/// Any member's checkpoint holds for all of them.
+static std::string gangCheckpoint(const StepRow& row)
+{
+    for (const TaskRow& task : row.tasks) {
+        if (!task.checkpoint.empty())
+            return task.checkpoint;
+    }
+    return {};
+}
+
+static bool placeGang(CellState& state, const Candidate& candidate, const Instant& now, CellActions& actions)
+{
+    StepRow& row = rowOf(candidate);
+    int count = static_cast<int>(row.tasks.size());
+    std::vector<TaskKey> keys = waitingTasks(candidate, now.steady);
+    // A former run of it is still about.
+    if (static_cast<int>(keys.size()) < count)
+        return true;
+    if (countWithinLimit(state, candidate.job->record.team, amountOf(specOf(candidate)), count) < count)
+        return true;
+    std::vector<Place> places = findPlaces(state, candidate, count, now.steady);
+    std::vector<Place> rack = specOf(candidate).colocate ? findRack(places, count) : std::vector<Place>();
+    if (!rack.empty())
+        places = rack;
+    int fits = 0;
+    for (const Place& it : places)
+        fits += it.fits;
+    if (fits < count)
+        return false;
+    int run = nextGangRun(row);
+    std::string checkpoint = gangCheckpoint(row);
+    // Few upstreams: fewer of them can break the gang.
+    std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) { return a.fits > b.fits; });
+    std::size_t next = 0;
+    for (const TaskKey& key : keys) {
+        while (places[next].fits == 0)
+            ++next;
+        --places[next].fits;
+        RunRow it = makeRun(state, candidate, key, run, *places[next].upstream, now.steady);
+        it.checkpoint = checkpoint;
+        place(state, candidate, it, *places[next].upstream, now, actions);
+    }
+    return true;
+}
+
+void tickPlacement(CellState& state, const Instant& now, CellActions& actions)
+{
+    bool isDue = state.placementDue ? now.steady >= state.nextPlacement : now.steady >= state.nextPlacement + kIdlePassInterval;
+    if (!isDue || !mayOrder(state, now.steady) || !state.policy || state.stopping)
+        return;
+    state.placementDue = false;
+    state.nextPlacement = now.steady + kPassInterval;
+    bool hasTimeForAdvice = true;
+    for (const Candidate& candidate : collectCandidates(state, now)) {
+        bool isPlaced = specOf(candidate).gang ? placeGang(state, candidate, now, actions) : placeSingles(state, candidate, now, actions);
+        if (!isPlaced && candidate.route->advice && hasTimeForAdvice)
+            hasTimeForAdvice = askForAdvice(state, *candidate.route, candidate.step, now, actions);
+    }
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/RecordCodec.cpp
@@ -0,0 +1,173 @@
+#include "src/cell/RecordCodec.h"
+
+#include "cell.pb.h"
+
+namespace crocuslever::cell {
+
+namespace wire = crocuslever::cellwire;
+
+static void encodeStep(const StepSpec& step, wire::Step& out)
+{
+    out.set_count(step.count);
+    out.set_milli_cpu(step.each.milliCpu);
+    out.set_memory_mb(step.each.memoryMb);
+    out.set_accelerators(step.each.accelerators);
+    out.set_estimate_ms(toMilliseconds(step.estimate));
+    for (int earlier : step.after)
+        out.add_after(earlier);
+    out.set_checkpoints(step.checkpoints);
+    out.set_gang(step.gang);
+    out.set_colocate(step.colocate);
+    out.set_duplicates_allowed(step.duplicatesAllowed);
+    out.set_lasting(step.lasting);
+    out.set_fills(step.fills);
+    out.set_required_label(step.requiredLabel);
+    out.set_data_rack(step.dataRack);
+    out.set_most_per_upstream(step.mostPerUpstream);
+    out.set_image(step.image);
+    out.set_tail_target_ms(toMilliseconds(step.tailTarget));
+    out.set_most_unavailable(step.mostUnavailable);
+}
+
+static StepSpec decodeStep(const wire::Step& in)
+{
+    StepSpec step;
+    step.count = in.count();
+    step.each = { in.milli_cpu(), in.memory_mb(), in.accelerators(), 0 };
+    step.estimate = fromMilliseconds(in.estimate_ms());
+    step.after.assign(in.after().begin(), in.after().end());
+    step.checkpoints = in.checkpoints();
+    step.gang = in.gang();
+    step.colocate = in.colocate();
+    step.duplicatesAllowed = in.duplicates_allowed();
+    step.lasting = in.lasting();
+    step.fills = in.fills();
+    step.requiredLabel = in.required_label();
+    step.dataRack = in.data_rack();
+    step.mostPerUpstream = in.most_per_upstream();
+    step.image = in.image();
+    step.tailTarget = fromMilliseconds(in.tail_target_ms());
+    step.mostUnavailable = in.most_unavailable();
+    return step;
+}
+
+std::string encodeJob(const JobRecord& job)
+{
+    wire::Job out;
+    out.set_id(job.id);
+    out.set_route(job.route);
+    out.set_team(job.team);
+    out.set_accepted_ms(job.acceptedMs);
+    out.set_payload(job.spec.payload);
+    for (const StepSpec& step : job.spec.steps)
+        encodeStep(step, *out.add_steps());
+    out.set_occurrences(job.spec.occurrences);
+    out.set_first_due_ms(job.spec.firstDueMs);
+    out.set_interval_ms(job.spec.intervalMs);
+    return out.SerializeAsString();
+}
+
+std::optional<JobRecord> decodeJob(const std::string& bytes)
+{
+    wire::Job in;
+    if (!in.ParseFromString(bytes) || in.id().empty())
+        return std::nullopt;
+    JobRecord job;
+    job.id = in.id();
+    job.route = in.route();
+    job.team = in.team();
+    job.acceptedMs = in.accepted_ms();
+    job.spec.payload = in.payload();
+    for (const wire::Step& step : in.steps())
+        job.spec.steps.push_back(decodeStep(step));
+    job.spec.occurrences = in.occurrences();
+    job.spec.firstDueMs = in.first_due_ms();
+    job.spec.intervalMs = in.interval_ms();
+    return job;
+}
+
+std::string encodeProgress(const std::vector<TaskProgress>& tasks)
+{
+    wire::JobProgress out;
+    for (const TaskProgress& task : tasks) {
+        wire::TaskProgress& row = *out.add_tasks();
+        row.set_occurrence(task.occurrence);
+        row.set_step(task.step);
+        row.set_index(task.index);
+        row.set_done(task.done);
+        row.set_failures(task.failures);
+        row.set_last_run(task.lastRun);
+        row.set_checkpoint(task.checkpoint);
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<std::vector<TaskProgress>> decodeProgress(const std::string& bytes)
+{
+    wire::JobProgress in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    std::vector<TaskProgress> tasks;
+    for (const wire::TaskProgress& row : in.tasks())
+        tasks.push_back({ row.occurrence(), row.step(), row.index(), row.done(), row.failures(), row.last_run(), row.checkpoint() });
+    return tasks;
+}
+
+std::string encodeOwner(const OwnerRecord& owner)
+{
+    wire::Owner out;
+    out.set_instance(owner.instance);
+    out.set_address(owner.address);
+    out.set_incarnation(owner.incarnation);
+    out.set_token(owner.token);
+    return out.SerializeAsString();
+}
+
+std::optional<OwnerRecord> decodeOwner(const std::string& bytes)
+{
+    wire::Owner in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    return OwnerRecord { in.instance(), in.address(), in.incarnation(), in.token() };
+}
+
+std::string encodeInstance(const InstanceRecord& instance)
+{
+    wire::Instance out;
+    out.set_address(instance.address);
+    out.set_incarnation(instance.incarnation);
+    return out.SerializeAsString();
+}
+
+std::optional<InstanceRecord> decodeInstance(const std::string& bytes)
+{
+    wire::Instance in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    return InstanceRecord { in.address(), in.incarnation() };
+}
+
+std::string encodeUpstreams(const std::vector<UpstreamTarget>& targets)
+{
+    wire::KnownUpstreams out;
+    for (const UpstreamTarget& target : targets) {
+        wire::Upstream& row = *out.add_upstreams();
+        row.set_id(target.id);
+        row.set_address(target.address);
+        row.set_born_ms(target.bornMs);
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<std::vector<UpstreamTarget>> decodeUpstreams(const std::string& bytes)
+{
+    wire::KnownUpstreams in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    std::vector<UpstreamTarget> targets;
+    for (const wire::Upstream& row : in.upstreams())
+        targets.push_back({ row.id(), row.address(), row.born_ms() });
+    return targets;
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Runs.cpp
@@ -0,0 +1,307 @@
+#include "src/cell/Runs.h"
+
+#include <algorithm>
+
+#include "src/cell/Ask.h"
+#include "src/cell/Jobs.h"
+#include "src/cell/Ownership.h"
+#include "src/cell/Upstreams.h"
+
+namespace crocuslever::cell {
+
+static constexpr Duration kRetryInterval = std::chrono::milliseconds(60);
+/// A start without an answer is sent this often before it is shut out by a stop.
+static constexpr int kMostStartOrders = 3;
+/// An upstream that refused or didn't answer gets nothing new for this long.
+static constexpr Duration kUnwellPause = std::chrono::milliseconds(500);
+
+const char* toString(RunEnd how)
+{
+    switch (how) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lapsed:
+        return "lapsed";
+    case RunEnd::Broken:
+        return "broken";
+    case RunEnd::Alone:
+        return "alone";
+    }
+    return "failed";
+}
+
+const char* toString(UpstreamOutcome outcome)
+{
+    switch (outcome) {
+    case UpstreamOutcome::Ok:
+        return "ok";
+    case UpstreamOutcome::Fenced:
+        return "fenced by a higher token";
+    case UpstreamOutcome::Stale:
+        return "an old run";
+    case UpstreamOutcome::TooLate:
+        return "the lease is over";
+    case UpstreamOutcome::NoRoom:
+        return "no room";
+    case UpstreamOutcome::NoTicket:
+        return "no valid ticket";
+    case UpstreamOutcome::Unwell:
+        return "refused for now";
+    case UpstreamOutcome::WrongLife:
+        return "another life of the upstream";
+    case UpstreamOutcome::Malformed:
+        return "not understood";
+    case UpstreamOutcome::NotSent:
+        return "not sent";
+    case UpstreamOutcome::NoAnswer:
+        return "no answer";
+    }
+    return "no answer";
+}
+
+static void takeRoom(CellState& state, UpstreamRow& upstream, const RunRow& run)
+{
+    upstream.used = upstream.used + run.amount;
+    Resources& use = state.teamUse[run.team];
+    use = use + run.amount;
+}
+
+static void sendStart(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, const Instant& now, CellActions& actions)
+{
+    RunStart order;
+    order.ticket = state.nextTicket++;
+    order.target = targetOf(upstream);
+    order.task = name;
+    order.run = run.run;
+    order.payload = run.payload;
+    order.leaseUntilMs = leaseUntil(state, upstream, now.steady);
+    order.token = state.ownership.token;
+    order.checkpoint = run.checkpoint;
+    order.advice = run.advice;
+    extendLease(upstream, order.leaseUntilMs);
+    run.order = order.ticket;
+    run.isOrderStop = false;
+    ++run.orders;
+    state.orders[order.ticket] = { upstream.entry.id, name };
+    state.counters.add("task_starts_total");
+    actions.push_back(std::move(order));
+}
+
+static void sendStop(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, CellActions& actions)
+{
+    RunStop order { state.nextTicket++, targetOf(upstream), name, run.run, state.ownership.token };
+    run.order = order.ticket;
+    run.isOrderStop = true;
+    state.orders[order.ticket] = { upstream.entry.id, name };
+    state.counters.add("task_stops_total");
+    actions.push_back(std::move(order));
+}
+
+void startRun(CellState& state, UpstreamRow& upstream, RunRow run, const Instant& now, CellActions& actions)
+{
+    std::string name = formatTaskKey(run.task);
+    TaskRow& task = *findTask(state, run.task);
+    task.upstream = upstream.entry.id;
+    task.run = run.run;
+    task.percent = 0;
+    setPhase(state, run.task, TaskPhase::Starting, now.steady);
+    run.startedAt = now.steady;
+    takeRoom(state, upstream, run);
+    RunRow& row = upstream.runs[name] = std::move(run);
+    sendStart(state, upstream, name, row, now, actions);
+}
+
+void adoptRun(CellState& state, UpstreamRow& upstream, RunRow run, const Instant& now)
+{
+    run.confirmed = true;
+    run.confirmedAt = now.steady;
+    run.startedAt = now.steady;
+    takeRoom(state, upstream, run);
+    upstream.runs[formatTaskKey(run.task)] = std::move(run);
+}
+
+void stopRun(CellState& state, UpstreamRow& upstream, const std::string& name, const Instant& now, CellActions& actions)
+{
+    auto it = upstream.runs.find(name);
+    if (it == upstream.runs.end() || it->second.stopping)
+        return;
+    RunRow& run = it->second;
+    run.stopping = true;
+    run.nextOrder = now.steady;
+    TaskRow* task = findTask(state, run.task);
+    if (task && task->run == run.run && task->phase != TaskPhase::Done && task->phase != TaskPhase::Waiting)
+        setPhase(state, run.task, TaskPhase::Stopping, now.steady);
+    // While the start is in flight the stop follows its answer.
+    if (run.order == 0)
+        sendStop(state, upstream, name, run, actions);
+}
+
+template <typename Predicate>
+static void stopRunsWhere(CellState& state, Predicate matches, const Instant& now, CellActions& actions)
+{
+    for (auto& [id, upstream] : state.upstreams) {
+        std::vector<std::string> names;
+        for (const auto& [name, run] : upstream.runs) {
+            if (matches(run))
+                names.push_back(name);
+        }
+        for (const std::string& name : names)
+            stopRun(state, upstream, name, now, actions);
+    }
+}
+
+void stopRunsOf(CellState& state, const std::string& job, const Instant& now, CellActions& actions)
+{
+    stopRunsWhere(
+        state, [&job](const RunRow& run) { return run.task.job == job; }, now, actions);
+}
+
+void stopGang(CellState& state, const TaskKey& key, const Instant& now, CellActions& actions)
+{
+    auto isMember = [&key](const RunRow& run) {
+        return run.task.job == key.job && run.task.occurrence == key.occurrence && run.task.step == key.step;
+    };
+    stopRunsWhere(state, isMember, now, actions);
+}
+
+void removeRun(CellState& state, UpstreamRow& upstream, const std::string& name)
+{
+    auto it = upstream.runs.find(name);
+    if (it == upstream.runs.end())
+        return;
+    const RunRow& run = it->second;
+    upstream.used = upstream.used - run.amount;
+    Resources& use = state.teamUse[run.team];
+    use = use - run.amount;
+    state.orders.erase(run.order);
+    upstream.runs.erase(it);
+    state.placementDue = true;
+}
+
+void finishRun(CellState& state, UpstreamRow& upstream, const std::string& name, RunEnd how, const std::string& checkpoint, const Instant& now, CellActions& actions)
+{
+    auto it = upstream.runs.find(name);
+    if (it == upstream.runs.end())
+        return;
+    TaskKey key = it->second.task;
+    int run = it->second.run;
+    removeRun(state, upstream, name);
+    takeRunEnd(state, key, run, how, checkpoint, now, actions);
+}
+
+static bool isGangRun(CellState& state, const TaskKey& key)
+{
+    JobRow* job = findJob(state, key.job);
+    return job && specOf(*job, key).gang;
+}
+
+/// The upstream has surely not begun the run, and never will.
+static void handleNotBegun(CellState& state, UpstreamRow& upstream, const std::string& name, UpstreamOutcome outcome, const Instant& now, CellActions& actions)
+{
+    RunRow run = upstream.runs.at(name);
+    note(actions, LogLevel::Info, "task.start", upstream.entry.id, run.task.job, name + " run " + std::to_string(run.run) + " was not begun: " + toString(outcome));
+    state.counters.add("task_start_rejections_total");
+    removeRun(state, upstream, name);
+    TaskRow* task = findTask(state, run.task);
+    if (task && task->run == run.run && task->phase != TaskPhase::Done)
+        setPhase(state, run.task, TaskPhase::Waiting, now.steady);
+    if (isGangRun(state, run.task))
+        stopGang(state, run.task, now, actions);
+}
+
+static void judgeUpstream(UpstreamRow& upstream, UpstreamOutcome outcome, TimePoint now)
+{
+    bool isUnwell = outcome == UpstreamOutcome::Unwell || outcome == UpstreamOutcome::NotSent || outcome == UpstreamOutcome::NoAnswer
+        || outcome == UpstreamOutcome::WrongLife || outcome == UpstreamOutcome::NoRoom;
+    if (!isUnwell)
+        return;
+    upstream.unwellUntil = now + kUnwellPause;
+    upstream.nextLook = std::min(upstream.nextLook, now);
+}
+
+static void handleStartResult(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, UpstreamOutcome outcome, const Instant& now, CellActions& actions)
+{
+    judgeUpstream(upstream, outcome, now.steady);
+    if (outcome == UpstreamOutcome::Ok) {
+        run.confirmed = true;
+        run.confirmedAt = now.steady;
+        run.payload.clear();
+        JobRow* job = findJob(state, run.task.job);
+        if (job)
+            job->begun = true;
+        if (run.stopping)
+            sendStop(state, upstream, name, run, actions);
+        else
+            setPhase(state, run.task, TaskPhase::Running, now.steady);
+        return;
+    }
+    bool mayComeLater = outcome == UpstreamOutcome::NoAnswer || run.orders > 1;
+    if (!mayComeLater) {
+        handleNotBegun(state, upstream, name, outcome, now, actions);
+        return;
+    }
+    if (outcome != UpstreamOutcome::NoAnswer || run.orders >= kMostStartOrders) {
+        if (isGangRun(state, run.task))
+            stopGang(state, run.task, now, actions);
+        stopRun(state, upstream, name, now, actions);
+    }
+    run.nextOrder = now.steady + kRetryInterval;
+}
+
+static void handleStopResult(UpstreamRow& upstream, RunRow& run, UpstreamOutcome outcome, const Instant& now)
+{
+    if (outcome == UpstreamOutcome::Ok || outcome == UpstreamOutcome::Stale) {
+        run.stopConfirmed = true;
+        run.stopConfirmedAt = now.steady;
+        upstream.nextLook = std::min(upstream.nextLook, now.steady);
+        return;
+    }
+    run.nextOrder = now.steady + kRetryInterval;
+}
+
+void handleOrderResult(CellState& state, const OrderResult& result, const Instant& now, CellActions& actions)
+{
+    auto order = state.orders.find(result.ticket);
+    if (order == state.orders.end())
+        return;
+    auto [id, name] = order->second;
+    state.orders.erase(order);
+    auto upstream = state.upstreams.find(id);
+    if (upstream == state.upstreams.end())
+        return;
+    auto it = upstream->second.runs.find(name);
+    if (it == upstream->second.runs.end() || it->second.order != result.ticket)
+        return;
+    if (result.outcome == UpstreamOutcome::Fenced) {
+        loseOwnership(state, "upstream " + id + " knows a higher token", actions);
+        return;
+    }
+    RunRow& run = it->second;
+    run.order = 0;
+    if (run.isOrderStop)
+        handleStopResult(upstream->second, run, result.outcome, now);
+    else
+        handleStartResult(state, upstream->second, name, run, result.outcome, now, actions);
+}
+
+void tickOrders(CellState& state, const Instant& now, CellActions& actions)
+{
+    if (!mayOrder(state, now.steady))
+        return;
+    for (auto& [id, upstream] : state.upstreams) {
+        for (auto& [name, run] : upstream.runs) {
+            if (run.order != 0 || now.steady < run.nextOrder)
+                continue;
+            if (run.stopping && !run.stopConfirmed)
+                sendStop(state, upstream, name, run, actions);
+            else if (!run.stopping && !run.confirmed)
+                sendStart(state, upstream, name, run, now, actions);
+        }
+    }
+}
+
+} // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/Upstreams.cpp
@@ -0,0 +1,412 @@
+#include "src/cell/Upstreams.h"
+
+#include <algorithm>
+
+#include "src/cell/Ask.h"
+#include "src/cell/Jobs.h"
+#include "src/cell/Keys.h"
+#include "src/cell/Ownership.h"
+#include "src/cell/RecordCodec.h"
+#include "src/cell/Runs.h"
+
+namespace crocuslever::cell {
+
+static constexpr Duration kDirectoryInterval = std::chrono::milliseconds(400);
+static constexpr Duration kLookWait = std::chrono::milliseconds(1000); ///< An upstream answers earlier at an end.
+static constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
+static constexpr Duration kUnstoredEndsInterval = std::chrono::milliseconds(50); ///< Between looks while ends wait to be stored.
+/// Fits the round trip and the coarse clock of the upstream.
+static constexpr Duration kLeaseMargin = std::chrono::milliseconds(50);
+static constexpr double kSlowClock = 1.03; ///< An upstream's second may last this many of ours.
+static constexpr int kSilencesUntilUnwell = 1;
+/// Beyond this many ends in one answer there may be more to come.
+static constexpr std::size_t kMostEndsListed = 500;
+
+std::string lifeOf(const DirectoryEntry& entry) { return entry.id + "@" + std::to_string(entry.bornMs); }
+
+UpstreamTarget targetOf(const UpstreamRow& upstream)
+{
+    return { upstream.entry.id, upstream.entry.address, upstream.entry.bornMs };
+}
+
+Resources amountOf(const StepSpec& step)
+{
+    Resources amount = step.each;
+    amount.slots = 0;
+    if (step.fills)
+        amount.milliCpu = 0;
+    return amount;
+}
+
+bool takesWork(const CellState& state, const UpstreamRow& upstream, TimePoint now)
+{
+    bool isKnownDurably = state.ownership.knownUpstreams.count(lifeOf(upstream.entry)) > 0;
+    bool isSound = upstream.listed && upstream.fenced && upstream.silences == 0 && upstream.strangers == 0 && now >= upstream.unwellUntil;
+    bool isOpen = !upstream.entry.draining && state.evacuated.count(upstream.entry.domain) == 0;
+    return isKnownDurably && isSound && isOpen && upstream.clockKnown;
+}
+
+std::int64_t leaseUntil(const CellState& state, const UpstreamRow& upstream, TimePoint now)
+{
+    if (!upstream.clockKnown)
+        return 0;
+    return upstream.clockMs + toMilliseconds(now - upstream.clockAt + state.settings.runLease);
+}
+
+void extendLease(UpstreamRow& upstream, std::int64_t untilMs)
+{
+    if (untilMs <= 0)
+        return;
+    Duration left = std::chrono::duration_cast<Duration>(fromMilliseconds(untilMs - upstream.clockMs) * kSlowClock);
+    upstream.leasesEnd = std::max(upstream.leasesEnd, upstream.clockAt + left + kLeaseMargin);
+}
+
+/// Another life of the upstream knows nothing of the earlier one.
+static void beginLife(CellState& state, UpstreamRow& upstream, std::int64_t bornMs, const Instant& now, CellActions& actions)
+{
+    note(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "another life, begun at " + std::to_string(bornMs) + "; " + std::to_string(upstream.runs.size()) + " runs of the earlier one are gone");
+    std::vector<std::string> names;
+    for (const auto& [name, run] : upstream.runs)
+        names.push_back(name);
+    for (const std::string& name : names)
+        finishRun(state, upstream, name, RunEnd::Lapsed, "", now, actions);
+    upstream.entry.bornMs = bornMs;
+    upstream.fenced = false;
+    upstream.strangers = 0;
+    upstream.clockKnown = false;
+    upstream.lastEnd = 0;
+    upstream.acknowledged = 0;
+    upstream.silences = 0;
+    upstream.leasesEnd = {};
+    if (upstream.look != 0)
+        state.looks.erase(upstream.look);
+    upstream.look = 0;
+    upstream.nextLook = now.steady;
+}
+
+void addEarlierUpstream(CellState& state, const UpstreamTarget& target, TimePoint now)
+{
+    UpstreamRow& upstream = state.upstreams[target.id];
+    if (!upstream.entry.id.empty())
+        return;
+    upstream.entry.id = target.id;
+    upstream.entry.address = target.address;
+    upstream.entry.bornMs = target.bornMs;
+    upstream.leasesEnd = state.ownership.strangersEnd;
+    upstream.nextLook = now;
+}
+
+static void takeEntry(CellState& state, const DirectoryEntry& entry, const Instant& now, CellActions& actions)
+{
+    UpstreamRow& upstream = state.upstreams[entry.id];
+    bool isNew = upstream.entry.id.empty();
+    if (!isNew && entry.bornMs < upstream.entry.bornMs)
+        return; // An entry of an earlier life.
+    if (!isNew && upstream.entry.bornMs != entry.bornMs)
+        beginLife(state, upstream, entry.bornMs, now, actions);
+    if (isNew || upstream.entry.draining != entry.draining || !upstream.listed) {
+        state.placementDue = true;
+        note(actions, LogLevel::Info, "upstream.listed", entry.id, "", std::string(entry.draining ? "draining" : "ready") + " in " + entry.domain + " at " + entry.address);
+    }
+    upstream.entry = entry;
+    upstream.listed = true;
+}
+
+static void noteMissing(CellState& state, const std::set<std::string>& listed, CellActions& actions)
+{
+    for (auto& [id, upstream] : state.upstreams) {
+        if (!upstream.listed || listed.count(id) > 0)
+            continue;
+        upstream.listed = false;
+        note(actions, LogLevel::Info, "upstream.listed", id, "", "no longer listed, with " + std::to_string(upstream.runs.size()) + " runs");
+    }
+}
+
+void handleDirectory(CellState& state, const DirectoryRead& read, const Instant& now, CellActions& actions)
+{
+    state.ownership.readingDirectory = false;
+    if (!isOwner(state) || !read.ok)
+        return;
+    std::set<std::string> listed;
+    for (const DirectoryEntry& entry : read.entries) {
+        listed.insert(entry.id);
+        takeEntry(state, entry, now, actions);
+    }
+    noteMissing(state, listed, actions);
+}
+
+/// Work goes only to upstreams that a successor would find in the store.
+static void storeKnownUpstreams(CellState& state, CellActions& actions)
+{
+    Ownership& ownership = state.ownership;
+    if (ownership.storingKnown)
+        return;
+    std::vector<UpstreamTarget> targets;
+    std::set<std::string> lives;
+    bool isChanged = false;
+    for (const auto& [id, upstream] : state.upstreams) {
+        targets.push_back(targetOf(upstream));
+        std::string life = lifeOf(upstream.entry);
+        isChanged = isChanged || ownership.knownUpstreams.count(life) == 0;
+        lives.insert(std::move(life));
+    }
+    if (!isChanged)
+        return;
+    ownership.storingKnown = true;
+    StoreChange command;
+    command.conditions = { { kEpochKey, ownership.guard }, { kUpstreamsKey, ownership.knownRevision } };
+    command.puts = { { kUpstreamsKey, encodeUpstreams(targets), 0 } };
+    std::int64_t token = ownership.token;
+    auto then = [token, lives](CellState& s, const StoreReply& reply, const Instant&, CellActions&) {
+        if (!isOwner(s) || s.ownership.token != token)
+            return;
+        s.ownership.storingKnown = false;
+        if (reply.status == StoreStatus::Ok) {
+            s.ownership.knownUpstreams = lives;
+            s.ownership.knownRevision = reply.revision;
+            s.placementDue = true;
+        }
+        // Done after all without an answer, or the first one of this owner. A later epoch shows in the next commit.
+        for (const StoreEntry& entry : reply.entries) {
+            if (reply.status == StoreStatus::Conflict && entry.key == kUpstreamsKey)
+                s.ownership.knownRevision = entry.modRevision;
+        }
+    };
+    change(state, std::move(command), then, actions);
+}
+
+static void sendLook(CellState& state, UpstreamRow& upstream, const Instant& now, CellActions& actions)
+{
+    bool hasUnstoredEnds = upstream.acknowledged < upstream.lastEnd;
+    UpstreamLook look;
+    look.ticket = state.nextTicket++;
+    look.target = targetOf(upstream);
+    look.token = state.ownership.token;
+    look.acknowledged = upstream.acknowledged;
+    look.leaseUntilMs = leaseUntil(state, upstream, now.steady);
+    bool isQuick = !upstream.fenced || upstream.silences > 0 || hasUnstoredEnds;
+    look.wait = isQuick ? Duration(0) : kLookWait;
+    extendLease(upstream, look.leaseUntilMs);
+    upstream.look = look.ticket;
+    upstream.lookSentAt = now.steady;
+    state.looks[look.ticket] = upstream.entry.id;
+    state.counters.add("upstream_looks_total");
+    actions.push_back(std::move(look));
+}
+
+/// An upstream that can't be reached runs nothing of ours once all leases are over.
+static void endLapsedRuns(CellState& state, UpstreamRow& upstream, const Instant& now, CellActions& actions)
+{
+    if (upstream.runs.empty() || now.steady <= upstream.leasesEnd)
+        return;
+    note(actions, LogLevel::Warning, "upstream.lapse", upstream.entry.id, "", "the leases of " + std::to_string(upstream.runs.size()) + " runs are over");
+    std::vector<std::string> names;
+    for (const auto& [name, run] : upstream.runs)
+        names.push_back(name);
+    for (const std::string& name : names)
+        finishRun(state, upstream, name, RunEnd::Lapsed, "", now, actions);
+}
+
+/// Until this holds, a waiting task of a predecessor's may run where we can't look.
+static void judgeStrangers(CellState& state, const Instant& now, CellActions& actions)
+{
+    Ownership& ownership = state.ownership;
+    if (ownership.areStrangersKnown)
+        return;
+    bool areAllFenced = std::all_of(ownership.earlierUpstreams.begin(), ownership.earlierUpstreams.end(), [&state](const UpstreamTarget& target) {
+        auto it = state.upstreams.find(target.id);
+        return it == state.upstreams.end() || it->second.fenced;
+    });
+    if (!areAllFenced && now.steady <= ownership.strangersEnd)
+        return;
+    ownership.areStrangersKnown = true;
+    state.placementDue = true;
+    note(actions, LogLevel::Info, "ownership", "", "", std::string("every run of a predecessor is known: ") + (areAllFenced ? "all upstreams have been looked at" : "its leases are over"));
+}
+
+void tickUpstreams(CellState& state, const Instant& now, CellActions& actions)
+{
+    if (!isOwner(state))
+        return;
+    Ownership& ownership = state.ownership;
+    if (!ownership.readingDirectory && now.steady >= ownership.nextDirectory) {
+        ownership.readingDirectory = true;
+        ownership.nextDirectory = now.steady + kDirectoryInterval;
+        actions.push_back(ReadDirectory { state.nextTicket++ });
+    }
+    storeKnownUpstreams(state, actions);
+    for (auto it = state.upstreams.begin(); it != state.upstreams.end();) {
+        UpstreamRow& upstream = it->second;
+        endLapsedRuns(state, upstream, now, actions);
+        bool isGone = !upstream.listed && upstream.runs.empty() && now.steady > upstream.leasesEnd && now.steady > ownership.strangersEnd;
+        if (isGone) {
+            state.looks.erase(upstream.look);
+            it = state.upstreams.erase(it);
+            continue;
+        }
+        if (upstream.look == 0 && now.steady >= upstream.nextLook && mayOrder(state, now.steady))
+            sendLook(state, upstream, now, actions);
+        ++it;
+    }
+    judgeStrangers(state, now, actions);
+}
+
+static void takeEnds(CellState& state, UpstreamRow& upstream, const LookResult& result, const Instant& now, CellActions& actions)
+{
+    for (const EndListing& end : result.ended) {
+        if (end.number <= upstream.lastEnd)
+            continue;
+        upstream.lastEnd = end.number;
+        std::optional<TaskKey> key = parseTaskKey(end.task);
+        if (!key)
+            continue;
+        auto run = upstream.runs.find(end.task);
+        if (run != upstream.runs.end() && run->second.run <= end.run)
+            removeRun(state, upstream, end.task);
+        takeRunEnd(state, *key, end.run, end.how, end.checkpoint, now, actions);
+    }
+}
+
+/// Another run of the task than the one that we know of there. Only one may go on.
+static bool isSuperseded(CellState& state, const TaskKey& key, const UpstreamRow& upstream, int run)
+{
+    TaskRow* task = findTask(state, key);
+    JobRow* job = findJob(state, key.job);
+    if (!task || job->ended || task->phase == TaskPhase::Done)
+        return true;
+    bool runsHere = task->phase == TaskPhase::Waiting || task->upstream == upstream.entry.id;
+    return !runsHere || run < task->run;
+}
+
+static void adoptListing(CellState& state, UpstreamRow& upstream, const RunListing& listing, const TaskKey& key, const Instant& now, CellActions& actions)
+{
+    JobRow* job = findJob(state, key.job);
+    if (!job || !findTask(state, key)) {
+        ++upstream.strangers;
+        actions.push_back(RunStop { state.nextTicket++, targetOf(upstream), listing.task, listing.run, state.ownership.token });
+        note(actions, LogLevel::Info, "task.stop", upstream.entry.id, key.job, listing.task + " belongs to no job that goes on");
+        return;
+    }
+    RunRow run;
+    run.task = key;
+    run.run = listing.run;
+    run.amount = amountOf(specOf(*job, key));
+    run.team = job->record.team;
+    adoptRun(state, upstream, run, now);
+    note(actions, LogLevel::Info, "task.adopt", upstream.entry.id, key.job, listing.task + " run " + std::to_string(listing.run) + " was found running");
+    if (isSuperseded(state, key, upstream, listing.run)) {
+        stopRun(state, upstream, listing.task, now, actions);
+        return;
+    }
+    TaskRow& task = *findTask(state, key);
+    task.upstream = upstream.entry.id;
+    task.run = listing.run;
+    job->begun = true;
+    setPhase(state, key, TaskPhase::Running, now.steady);
+}
+
+static void takeListing(CellState& state, UpstreamRow& upstream, const RunListing& listing, const Instant& now, CellActions& actions)
+{
+    std::optional<TaskKey> key = parseTaskKey(listing.task);
+    if (!key)
+        return;
+    auto it = upstream.runs.find(listing.task);
+    if (it == upstream.runs.end()) {
+        adoptListing(state, upstream, listing, *key, now, actions);
+        return;
+    }
+    RunRow& run = it->second;
+    run.percent = listing.percent;
+    run.gauge = listing.gauge;
+    if (run.run != listing.run)
+        return;
+    TaskRow* task = findTask(state, *key);
+    if (task && task->run == run.run) {
+        task->percent = listing.percent;
+        if (!listing.checkpoint.empty())
+            task->checkpoint = listing.checkpoint;
+    }
+    if (run.confirmed || run.isOrderStop)
+        return;
+    // The start took effect though its answer is still out.
+    run.confirmed = true;
+    run.confirmedAt = now.steady;
+    if (task && task->phase == TaskPhase::Starting)
+        setPhase(state, *key, TaskPhase::Running, now.steady);
+}
+
+/// Runs that should be listed and aren't have ended in a way that the lists no longer tell.
+static void dropUnlisted(CellState& state, UpstreamRow& upstream, const LookResult& result, const Instant& now, CellActions& actions)
+{
+    if (result.ended.size() >= kMostEndsListed)
+        return;
+    std::set<std::string> listed;
+    for (const RunListing& listing : result.running)
+        listed.insert(listing.task);
+    std::vector<std::pair<std::string, RunEnd>> gone;
+    for (const auto& [name, run] : upstream.runs) {
+        if (listed.count(name) > 0)
+            continue;
+        bool wasShutOut = run.stopConfirmed && run.stopConfirmedAt < upstream.lookSentAt;
+        bool wasThere = run.confirmed && run.confirmedAt < upstream.lookSentAt;
+        if (wasShutOut || wasThere)
+            gone.emplace_back(name, wasShutOut ? RunEnd::Stopped : RunEnd::Lapsed);
+    }
+    for (const auto& [name, how] : gone)
+        finishRun(state, upstream, name, how, "", now, actions);
+}
+
+static void takeLists(CellState& state, UpstreamRow& upstream, const LookResult& result, const Instant& now, CellActions& actions)
+{
+    upstream.silences = 0;
+    upstream.clockMs = result.clockMs;
+    upstream.clockAt = now.steady;
+    upstream.clockKnown = true;
+    takeEnds(state, upstream, result, now, actions);
+    upstream.strangers = 0;
+    for (const RunListing& listing : result.running)
+        takeListing(state, upstream, listing, now, actions);
+    dropUnlisted(state, upstream, result, now, actions);
+    if (!upstream.fenced) {
+        upstream.fenced = true;
+        state.placementDue = true;
+        note(actions, LogLevel::Info, "upstream.fence", upstream.entry.id, "", "knows token " + std::to_string(state.ownership.token) + "; " + std::to_string(result.running.size()) + " running, " + std::to_string(result.ended.size()) + " ended");
+    }
+    bool hasUnstoredEnds = upstream.acknowledged < upstream.lastEnd;
+    upstream.nextLook = now.steady + (hasUnstoredEnds || upstream.strangers > 0 ? kUnstoredEndsInterval : Duration(0));
+}
+
+static void countSilence(CellState& state, UpstreamRow& upstream, UpstreamOutcome outcome, const Instant& now, CellActions& actions)
+{
+    ++upstream.silences;
+    upstream.nextLook = now.steady + kRetryInterval;
+    state.counters.add("upstream_look_failures_total");
+    if (upstream.silences == kSilencesUntilUnwell)
+        note(actions, LogLevel::Warning, "upstream.look", upstream.entry.id, "", std::string("failed: ") + toString(outcome) + "; " + std::to_string(upstream.runs.size()) + " runs there");
+}
+
+void handleLook(CellState& state, const LookResult& result, const Instant& now, CellActions& actions)
+{
+    auto look = state.looks.find(result.ticket);
+    if (look == state.looks.end())
+        return;
+    auto it = state.upstreams.find(look->second);
+    state.looks.erase(look);
+    if (it == state.upstreams.end() || it->second.look != result.ticket)
+        return;
+    UpstreamRow& upstream = it->second;
+    upstream.look = 0;
+    if (result.outcome == UpstreamOutcome::Fenced) {
+        loseOwnership(state, "upstream " + upstream.entry.id + " knows a higher token", actions);
+        return;
+    }
+    if (result.outcome != UpstreamOutcome::Ok) {
+        countSilence(state, upstream, result.outcome, now, actions);
+        return;
+    }
+    if (result.bornMs != 0 && result.bornMs != upstream.entry.bornMs)
+        beginLife(state, upstream, result.bornMs, now, actions);
+    takeLists(state, upstream, result, now, actions);
+}
+
+} // namespace crocuslever::cell
--- a/src/control/FleetStatus.cpp
+++ b/src/control/FleetStatus.cpp
@@ -5,7 +5,7 @@
 
 #include "src/codec/JsonFields.h"
 #include "src/control/RunContext.h"
-#include "src/store/HttpClient.h"
+#include "src/http/HttpClient.h"
 
 namespace crocuslever {
 
--- a/src/control/JobCommands.cpp
+++ b/src/control/JobCommands.cpp
@@ -7,7 +7,7 @@
 #include "src/codec/Encoding.h"
 #include "src/control/RunContext.h"
 #include "src/control/TextFile.h"
-#include "src/store/HttpClient.h"
+#include "src/http/HttpClient.h"
 
 namespace crocuslever {
 
--- a/src/daemon/Logging.cpp
+++ b/src/daemon/Logging.cpp
@@ -8,6 +8,8 @@
 
 namespace crocuslever {
 
+static constexpr const char* kStandardOutput = "-";
+
 static const char* toString(LogLevel level)
 {
     switch (level) {
@@ -60,6 +62,8 @@
 {
     if (fileName.empty())
         return std::make_shared<spdlog::sinks::stderr_sink_st>();
+    if (fileName == kStandardOutput)
+        return std::make_shared<spdlog::sinks::stdout_sink_st>();
     return std::make_shared<spdlog::sinks::basic_file_sink_st>(fileName);
 }
 
--- a/src/daemon/Logging.h
+++ b/src/daemon/Logging.h
@@ -17,10 +17,10 @@
 /// One JSON object on one line: time, level, instance, step, peer, job, message.
 std::string formatLogLine(const LogLine&, const InstanceId&, std::int64_t wallMs);
 
-/// Writes JSON lines to a file or to standard error.
+/// Writes JSON lines to a file, to standard error or to standard output.
 class Logger {
 public:
-    /// An empty file name means standard error.
+    /// An empty file name means standard error, and "-" standard output.
     static Result<Logger> open(const InstanceId&, LogLevel least, const std::string& fileName);
 
     void write(const LogLine&, std::int64_t wallMs);
--- a/src/daemon/SystemClock.cpp
+++ b/src/daemon/SystemClock.cpp
@@ -1,6 +1,7 @@
 #include "src/daemon/SystemClock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace crocuslever {
 
@@ -11,4 +12,12 @@
     return { steady, toMilliseconds(wall) };
 }
 
+Instant readBootClock()
+{
+    timespec ts {};
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    Duration monotonic = std::chrono::seconds(ts.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(ts.tv_nsec));
+    return { TimePoint(monotonic), readClock().wallMs };
+}
+
 } // namespace crocuslever
--- a/src/store/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "src/store/HttpClient.h"
+#include "src/http/HttpClient.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +8,8 @@
 #include <optional>
 #include <utility>
 
+#include "src/http/Endpoint.h"
+
 namespace crocuslever {
 
 namespace asio = boost::asio;
@@ -19,22 +21,6 @@
 using Request = http::request<http::string_body>;
 using Parser = http::response_parser<http::string_body>;
 
-static std::optional<tcp::endpoint> parseEndpoint(const std::string& text)
-{
-    std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    std::string host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
-        host = host.substr(1, host.size() - 2);
-    error_code ec;
-    asio::ip::address address = asio::ip::make_address(host, ec);
-    int port = std::atoi(text.c_str() + colon + 1);
-    if (ec || port <= 0 || port > 65535)
-        return std::nullopt;
-    return tcp::endpoint(address, static_cast<unsigned short>(port));
-}
-
 static Request makeRequest(const HttpRequest& request, const std::string& host)
 {
     constexpr int kHttp11 = 11;
@@ -44,6 +30,8 @@
         message.set(http::field::content_type, "application/json");
     if (!request.bearerKey.empty())
         message.set(http::field::authorization, "Bearer " + request.bearerKey);
+    for (const auto& [name, value] : request.headers)
+        message.set(name, value);
     message.body() = request.body;
     message.prepare_payload();
     return message;
@@ -142,7 +130,8 @@
         m_busy.push_back(connection);
         connection->call = std::move(call);
         // One deadline over everything: a stopped peer still accepts connections and bytes.
-        connection->stream.expires_after(m_settings.timeout);
+        Duration timeout = connection->call.request.timeout;
+        connection->stream.expires_after(timeout > Duration(0) ? timeout : m_settings.timeout);
         if (isOpen)
             write(connection);
         else
--- a/src/store/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "crocuslever/Error.h"
@@ -17,6 +18,8 @@
     std::string target;
     std::string body; ///< JSON, or empty.
     std::string bearerKey {}; ///< Shown to the service unless empty.
+    std::vector<std::pair<std::string, std::string>> headers {};
+    Duration timeout { 0 }; ///< 0: that of the client.
 };
 
 /// A whole answer, of any status.
--- a/src/peer/PeerTransport.cpp
+++ b/src/peer/PeerTransport.cpp
@@ -1,383 +1,39 @@
 #include "src/peer/PeerTransport.h"
 
-#include <array>
-#include <boost/asio/posix/stream_descriptor.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
-#include <cstring>
-#include <map>
-#include <optional>
 #include <utility>
-#include <vector>
-#include <zmq.hpp>
 
 #include "src/codec/PeerCodec.h"
 
 namespace crocuslever {
 
-namespace asio = boost::asio;
-using ErrorCondition = boost::system::error_code;
-
-static constexpr int kQueueMessages = 8192; ///< High-water mark, each way and per peer.
-static constexpr std::int64_t kMaximumMessageBytes = std::int64_t(4) << 20;
-static constexpr int kPingIntervalMs = 2000; ///< Finds connections that broke without a word.
-static constexpr int kPingTimeoutMs = 5000;
-static constexpr int kHandshakeTimeoutMs = 5000;
-static constexpr int kConnectTimeoutMs = 3000;
-static constexpr int kReconnectMs = 100;
-static constexpr int kMaximumReconnectMs = 2000;
-static constexpr int kStopLingerMs = 500;
-static constexpr int kMessagesPerTurn = 1000; ///< Read at once before other handlers get their turn.
-static constexpr Duration kIdleLimit = std::chrono::minutes(1); ///< A socket unused for this long is closed.
-static constexpr Duration kSweepInterval = std::chrono::seconds(10);
-static constexpr std::size_t kKeyBytes = 32;
-static constexpr std::size_t kKeyTextLength = 40; ///< Of a Z85 key.
-static constexpr const char* kAuthenticationAddress = "inproc://zeromq.zap.01"; // Fixed by ZAP (ZeroMQ RFC 27).
-static constexpr const char* kAuthenticationDomain = "crocuslever";
-
-using BinaryKey = std::array<std::uint8_t, kKeyBytes>;
-using Frames = std::vector<zmq::message_t>;
-
-namespace {
-
-/// A socket to one peer. It only sends, so nothing watches its descriptor.
-struct PeerSocket {
-    zmq::socket_t socket;
-    std::chrono::steady_clock::time_point lastUse;
-};
-
-} // namespace
-
-static std::optional<BinaryKey> decodeKey(const std::string& text)
-{
-    BinaryKey key {};
-    if (text.size() != kKeyTextLength || zmq_z85_decode(key.data(), text.c_str()) == nullptr)
-        return std::nullopt;
-    return key;
-}
-
-static bool isKeyPair(const std::string& publicKey, const std::string& secretKey)
-{
-    std::array<char, kKeyTextLength + 1> derived {};
-    if (!decodeKey(publicKey) || !decodeKey(secretKey))
-        return false;
-    return zmq_curve_public(derived.data(), secretKey.c_str()) == 0 && publicKey == derived.data();
-}
-
-/// Reads one message whole; nothing if there is none.
-static std::optional<Frames> receiveFrames(zmq::socket_t& socket)
-{
-    Frames frames;
-    bool isMore = true;
-    while (isMore) {
-        zmq::message_t frame;
-        if (!socket.recv(frame, zmq::recv_flags::dontwait))
-            return std::nullopt;
-        isMore = frame.more();
-        frames.push_back(std::move(frame));
-    }
-    return frames;
-}
-
-static bool isReadable(zmq::socket_t& socket)
-{
-    return (socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0;
-}
-
-class PeerTransport::Impl : public std::enable_shared_from_this<PeerTransport::Impl> {
-public:
-    Impl(asio::io_context& context, PeerTransportSettings transportSettings, EventSink eventSink)
-        : m_context(context)
-        , m_settings(std::move(transportSettings))
-        , m_sink(std::move(eventSink))
-        , m_routerWatch(context)
-        , m_authenticationWatch(context)
-        , m_sweepTimer(context)
-    {
-    }
-
-    Result<void> open();
-    void send(const PeerSend&);
-    void stop(int lingerMs);
-
-    ErrorHandler errorHandler;
-    std::string boundAddress;
-    PeerTransportCounters counters;
-
-private:
-    Result<void> bind();
-    void openAuthentication();
-    void watchRouter();
-    void readRouter();
-    void handleFrames(const Frames&);
-    void watchAuthentication();
-    void answerAuthentication();
-    bool isCellKey(const Frames& request) const;
-    PeerSocket& socketFor(const std::string& address);
-    void drop(const PeerSend&, const std::string& why);
-    void scheduleSweep();
-    void sweep();
-
-    asio::io_context& m_context;
-    PeerTransportSettings m_settings;
-    EventSink m_sink;
-    zmq::context_t m_zmq { 1 };
-    zmq::socket_t m_router;
-    zmq::socket_t m_authentication;
-    // The descriptors belong to libzmq: they are released, never closed, by these.
-    asio::posix::stream_descriptor m_routerWatch;
-    asio::posix::stream_descriptor m_authenticationWatch;
-    asio::steady_timer m_sweepTimer;
-    std::map<std::string, PeerSocket> m_peers; ///< By address.
-    bool m_stopped { false };
-};
-
-Result<void> PeerTransport::Impl::open()
-{
-    if (!m_settings.insecure && !isKeyPair(m_settings.publicKey, m_settings.secretKey))
-        return Error { ErrorCode::InvalidInput, "peer.open", m_settings.bindAddress, "the keys are not a CURVE key pair" };
-    try {
-        return bind();
-    } catch (const zmq::error_t& error) {
-        return Error { ErrorCode::Unavailable, "peer.open", m_settings.bindAddress, error.what() };
-    }
-}
-
-static void setCommonOptions(zmq::socket_t& socket)
-{
-    socket.set(zmq::sockopt::linger, 0);
-    socket.set(zmq::sockopt::sndhwm, kQueueMessages);
-    socket.set(zmq::sockopt::rcvhwm, kQueueMessages);
-    socket.set(zmq::sockopt::maxmsgsize, kMaximumMessageBytes);
-    socket.set(zmq::sockopt::heartbeat_ivl, kPingIntervalMs);
-    socket.set(zmq::sockopt::heartbeat_timeout, kPingTimeoutMs);
-    socket.set(zmq::sockopt::handshake_ivl, kHandshakeTimeoutMs);
-    socket.set(zmq::sockopt::ipv6, true);
-}
-
-Result<void> PeerTransport::Impl::bind()
-{
-    // Before the first connection can come in, or it would be let in unchecked.
-    if (!m_settings.insecure)
-        openAuthentication();
-    m_router = zmq::socket_t(m_zmq, zmq::socket_type::router);
-    setCommonOptions(m_router);
-    if (!m_settings.insecure) {
-        m_router.set(zmq::sockopt::curve_server, true);
-        m_router.set(zmq::sockopt::curve_secretkey, m_settings.secretKey);
-        m_router.set(zmq::sockopt::zap_domain, kAuthenticationDomain);
-    }
-    m_router.bind("tcp://" + m_settings.bindAddress);
-    boundAddress = m_router.get(zmq::sockopt::last_endpoint).substr(std::strlen("tcp://"));
-    m_routerWatch.assign(m_router.get(zmq::sockopt::fd));
-    readRouter();
-    scheduleSweep();
-    return boost::outcome_v2::success();
-}
-
-void PeerTransport::Impl::openAuthentication()
-{
-    m_authentication = zmq::socket_t(m_zmq, zmq::socket_type::rep);
-    m_authentication.set(zmq::sockopt::linger, 0);
-    m_authentication.bind(kAuthenticationAddress);
-    m_authenticationWatch.assign(m_authentication.get(zmq::sockopt::fd));
-    answerAuthentication();
-}
-
-void PeerTransport::Impl::watchRouter()
+PeerTransport::PeerTransport(boost::asio::io_context& context, PeerTransportSettings settings, EventSink sink)
+    : m_sink(std::move(sink))
+    , m_frames(context, std::move(settings), [this](const std::string& sender, const std::string& bytes) { return take(sender, bytes); })
 {
-    m_routerWatch.async_wait(asio::posix::stream_descriptor::wait_read, [weak = weak_from_this()](ErrorCondition ec) {
-        std::shared_ptr<Impl> self = weak.lock();
-        if (!ec && self)
-            self->readRouter();
-    });
 }
 
-void PeerTransport::Impl::readRouter()
+Result<void> PeerTransport::take(const std::string& sender, const std::string& bytes)
 {
-    // The descriptor signals changes only, so all must be read before waiting again.
-    for (int n = 0; !m_stopped && isReadable(m_router); ++n) {
-        if (n == kMessagesPerTurn) {
-            asio::post(m_context, [weak = weak_from_this()] {
-                std::shared_ptr<Impl> self = weak.lock();
-                if (self)
-                    self->readRouter();
-            });
-            return;
-        }
-        std::optional<Frames> frames = receiveFrames(m_router);
-        if (frames)
-            handleFrames(*frames);
-    }
-    if (!m_stopped)
-        watchRouter();
-}
-
-static Result<PeerReceived> parseFrames(const Frames& frames)
-{
-    // The connection's own id, the sender, the message.
-    if (frames.size() != 3 || frames[1].empty())
-        return Error { ErrorCode::InvalidInput, "peer.receive", "", "the envelope is malformed" };
-    std::string sender = frames[1].to_string();
-    Result<PeerMessage> message = decodePeerMessage(frames[2].to_string());
+    Result<PeerMessage> message = decodePeerMessage(bytes);
     if (!message)
         return Error { message.error().code, "peer.receive", sender, message.error().message };
-    return PeerReceived { InstanceId(sender), std::move(message.value()) };
-}
-
-void PeerTransport::Impl::handleFrames(const Frames& frames)
-{
-    Result<PeerReceived> received = parseFrames(frames);
-    if (!received) {
-        ++counters.malformed;
-        if (errorHandler)
-            errorHandler(received.error());
-        return;
-    }
-    ++counters.messagesReceived;
-    counters.bytesReceived += frames[1].size() + frames[2].size();
-    m_sink(std::move(received.value()));
-}
-
-void PeerTransport::Impl::watchAuthentication()
-{
-    m_authenticationWatch.async_wait(asio::posix::stream_descriptor::wait_read, [weak = weak_from_this()](ErrorCondition ec) {
-        std::shared_ptr<Impl> self = weak.lock();
-        if (!ec && self)
-            self->answerAuthentication();
-    });
-}
-
-bool PeerTransport::Impl::isCellKey(const Frames& request) const
-{
-    // version, request id, domain, address, identity, mechanism, credentials
-    if (request.size() != 7 || request[5].to_string() != "CURVE" || request[6].size() != kKeyBytes)
-        return false;
-    std::optional<BinaryKey> key = decodeKey(m_settings.publicKey);
-    return key && std::memcmp(key->data(), request[6].data(), kKeyBytes) == 0;
-}
-
-void PeerTransport::Impl::answerAuthentication()
-{
-    while (!m_stopped && isReadable(m_authentication)) {
-        std::optional<Frames> request = receiveFrames(m_authentication);
-        if (!request)
-            break;
-        bool isAllowed = isCellKey(*request);
-        if (!isAllowed)
-            ++counters.refused;
-        std::string id = request->size() > 1 ? (*request)[1].to_string() : std::string();
-        for (const std::string& frame : { std::string("1.0"), id, std::string(isAllowed ? "200" : "400"), std::string(isAllowed ? "OK" : "unknown key"), std::string() })
-            m_authentication.send(zmq::buffer(frame), zmq::send_flags::sndmore);
-        m_authentication.send(zmq::const_buffer(), zmq::send_flags::none);
-    }
-    if (!m_stopped)
-        watchAuthentication();
-}
-
-PeerSocket& PeerTransport::Impl::socketFor(const std::string& address)
-{
-    auto it = m_peers.find(address);
-    if (it != m_peers.end())
-        return it->second;
-    PeerSocket peer { zmq::socket_t(m_zmq, zmq::socket_type::dealer), {} };
-    setCommonOptions(peer.socket);
-    peer.socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
-    peer.socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
-    peer.socket.set(zmq::sockopt::reconnect_ivl_max, kMaximumReconnectMs);
-    if (!m_settings.insecure) {
-        // Every instance of the cell has the same pair, so that is whom it must reach.
-        peer.socket.set(zmq::sockopt::curve_serverkey, m_settings.publicKey);
-        peer.socket.set(zmq::sockopt::curve_publickey, m_settings.publicKey);
-        peer.socket.set(zmq::sockopt::curve_secretkey, m_settings.secretKey);
-    }
-    peer.socket.connect("tcp://" + address);
-    return m_peers.emplace(address, std::move(peer)).first->second;
-}
-
-void PeerTransport::Impl::send(const PeerSend& command)
-{
-    if (m_stopped)
-        return;
-    std::string bytes = encodePeerMessage(command.message);
-    try {
-        PeerSocket& peer = socketFor(command.address);
-        peer.lastUse = std::chrono::steady_clock::now();
-        // A queue that takes the first frame takes the second too.
-        if (!peer.socket.send(zmq::buffer(m_settings.self.value()), zmq::send_flags::dontwait | zmq::send_flags::sndmore)) {
-            ++counters.dropped;
-            return;
-        }
-        peer.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
-    } catch (const zmq::error_t& error) {
-        drop(command, error.what());
-        return;
-    }
-    ++counters.messagesSent;
-    counters.bytesSent += m_settings.self.value().size() + bytes.size();
-}
-
-void PeerTransport::Impl::drop(const PeerSend& command, const std::string& why)
-{
-    ++counters.dropped;
-    if (errorHandler)
-        errorHandler(Error { ErrorCode::Unavailable, "peer.send", command.to.value() + " at " + command.address, why });
-}
-
-void PeerTransport::Impl::scheduleSweep()
-{
-    m_sweepTimer.expires_after(kSweepInterval);
-    m_sweepTimer.async_wait([weak = weak_from_this()](ErrorCondition ec) {
-        std::shared_ptr<Impl> self = weak.lock();
-        if (!ec && self && !self->m_stopped)
-            self->sweep();
-    });
+    m_sink(PeerReceived { InstanceId(sender), std::move(message.value()) });
+    return boost::outcome_v2::success();
 }
 
-void PeerTransport::Impl::sweep()
-{
-    std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() - kIdleLimit;
-    for (auto it = m_peers.begin(); it != m_peers.end();)
-        it = it->second.lastUse < limit ? m_peers.erase(it) : std::next(it);
-    scheduleSweep();
-}
+Result<void> PeerTransport::open() { return m_frames.open(); }
 
-void PeerTransport::Impl::stop(int lingerMs)
+void PeerTransport::send(const PeerSend& command)
 {
-    if (m_stopped)
-        return;
-    m_stopped = true;
-    m_sweepTimer.cancel();
-    if (m_routerWatch.is_open())
-        m_routerWatch.release();
-    if (m_authenticationWatch.is_open())
-        m_authenticationWatch.release();
-    for (auto& [address, peer] : m_peers)
-        peer.socket.set(zmq::sockopt::linger, lingerMs);
-    m_peers.clear();
-    m_router.close();
-    m_authentication.close();
-    m_zmq.close();
+    m_frames.send(command.address, command.to.value(), encodePeerMessage(command.message));
 }
 
-PeerTransport::PeerTransport(asio::io_context& context, PeerTransportSettings settings, EventSink sink)
-    : m_impl(std::make_shared<Impl>(context, std::move(settings), std::move(sink)))
-{
-}
-
-PeerTransport::~PeerTransport() { m_impl->stop(0); }
-
-Result<void> PeerTransport::open() { return m_impl->open(); }
-
-void PeerTransport::send(const PeerSend& command) { m_impl->send(command); }
-
-void PeerTransport::stop() { m_impl->stop(kStopLingerMs); }
+void PeerTransport::stop() { m_frames.stop(); }
 
-void PeerTransport::setErrorHandler(ErrorHandler handler) { m_impl->errorHandler = std::move(handler); }
+void PeerTransport::setErrorHandler(ErrorHandler handler) { m_frames.setErrorHandler(std::move(handler)); }
 
-std::string PeerTransport::boundAddress() const { return m_impl->boundAddress; }
+std::string PeerTransport::boundAddress() const { return m_frames.boundAddress(); }
 
-const PeerTransportCounters& PeerTransport::counters() const { return m_impl->counters; }
+const PeerTransportCounters& PeerTransport::counters() const { return m_frames.counters(); }
 
 } // namespace crocuslever
--- a/src/platform/InstanceListClient.cpp
+++ b/src/platform/InstanceListClient.cpp
@@ -3,8 +3,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "src/http/HttpClient.h"
 #include "src/platform/InstanceList.h"
-#include "src/store/HttpClient.h"
 
 namespace crocuslever {
 
--- a/src/store/StoreClient.cpp
+++ b/src/store/StoreClient.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "src/daemon/SystemClock.h"
-#include "src/store/HttpClient.h"
+#include "src/http/HttpClient.h"
 #include "src/store/StoreJson.h"
 #include "src/store/StoreWatcher.h"
 
--- a/tests/FaultProxyTest.cpp
+++ b/tests/FaultProxyTest.cpp
@@ -5,7 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "src/daemon/SystemClock.h"
-#include "src/store/HttpClient.h"
+#include "src/http/HttpClient.h"
 #include "tests/support/RunUntil.h"
 
 using namespace crocuslever;
