Look through waiting steps without starving the loop

Ruled out: a silent watch connection, a lost commit (traced by a line a commit and a line an answer of the watch). Conclusion: lives of upstreams are numbers, room is asked first, and a pass waits longer the more it has to look through.

--- a/src/cell/Advice.cpp
+++ b/src/cell/Advice.cpp
@@ -29,7 +29,7 @@
 
 const std::string* findTicket(const StepRow& step, const UpstreamRow& upstream, TimePoint now)
 {
-    auto it = step.advice.good.find(lifeOf(upstream.entry));
+    auto it = step.advice.good.find(upstream.life);
     if (it == step.advice.good.end() || now + kTicketMargin > it->second.validUntil)
         return nullptr;
     return &it->second.ticket;
@@ -37,8 +37,7 @@
 
 bool isAdvisedAgainst(const StepRow& step, const UpstreamRow& upstream)
 {
-    std::string life = lifeOf(upstream.entry);
-    return step.advice.judged.count(life) > 0 && step.advice.good.count(life) == 0;
+    return step.advice.judged.count(upstream.life) > 0 && step.advice.good.count(upstream.life) == 0;
 }
 
 namespace {
@@ -55,12 +54,10 @@
 {
     std::vector<Named> found;
     for (const auto& [id, upstream] : state.upstreams) {
-        if (!takesWork(state, upstream, now) || !isSuitable(spec, route, upstream))
-            continue;
-        if (isAdvisedAgainst(row, upstream) || findTicket(row, upstream, now))
-            continue;
         int fits = countFits(roomOn(upstream), amountOf(spec), std::max(row.waiting, 1));
-        if (fits > 0)
+        if (fits == 0 || !takesWork(state, upstream, now) || !isSuitable(spec, route, upstream))
+            continue;
+        if (!isAdvisedAgainst(row, upstream) && !findTicket(row, upstream, now))
             found.push_back({ &upstream, fits });
     }
     std::sort(found.begin(), found.end(), [](const Named& a, const Named& b) { return a.fits > b.fits; });
@@ -103,7 +100,7 @@
     TaskKey step;
     std::string instance;
     Duration cost { 0 };
-    std::map<std::string, std::string> lives; ///< By upstream.
+    std::map<std::string, LifeId> lives; ///< By upstream.
     Ticket ticket { 0 };
 };
 
@@ -191,7 +188,7 @@
     ask.step = formatStepKey(step);
     for (const Named& it : named) {
         ask.upstreams.push_back(it.upstream->entry.id);
-        question.lives[it.upstream->entry.id] = lifeOf(it.upstream->entry);
+        question.lives[it.upstream->entry.id] = it.upstream->life;
     }
     AdviceLoad& load = state.adviceLoads[question.instance];
     load.backlog += question.cost;
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -58,14 +58,17 @@
     TimePoint notBefore; ///< Not placed again earlier.
 };
 
+/// Names one life of an upstream within this process.
+using LifeId = std::uint64_t;
+
 /// What the advice service said of a step.
 struct StepAdvice {
     struct Grant {
         std::string ticket;
         TimePoint validUntil;
     };
-    std::map<std::string, Grant> good; ///< By upstream and life.
-    std::set<std::string> judged; ///< Upstreams and lives that it was asked about.
+    std::map<LifeId, Grant> good;
+    std::set<LifeId> judged; ///< Lives of upstreams that it was asked about.
     Ticket asking { 0 }; ///< A question in flight; 0: none.
     TimePoint nextAsk;
 };
@@ -88,6 +91,7 @@
     JobRecord record;
     StoreRevision revision { 0 }; ///< Of its record in the store.
     std::vector<OccurrenceRow> occurrences;
+    Duration estimatedChain { 0 }; ///< Longest chain of steps, by the submitter's estimates.
     bool begun { false }; ///< A task has started at some time.
     std::optional<JobState> ended; ///< Final, and being stored.
 };
@@ -120,6 +124,8 @@
 
 struct UpstreamRow {
     DirectoryEntry entry;
+    LifeId life { 0 };
+    bool isStored { false }; ///< A successor would find this life in the store.
     bool listed { false }; ///< In the directory at its last reading.
     bool fenced { false }; ///< This life knows our token, and its lists have been read.
     std::map<std::string, RunRow> runs; ///< By task.
@@ -187,8 +193,8 @@
     TimePoint strangersEnd; ///< Runs that no list shows have ended by then.
     int readsLeft { 0 };
     bool areStrangersKnown { false }; ///< No upstream can run a task of a predecessor unknown to us.
-    std::set<std::string> knownUpstreams; ///< In the store's record: upstream and life.
-    StoreRevision knownRevision { 0 }; ///< Of that record.
+    StoreRevision knownRevision { 0 }; ///< Of the record of known upstreams.
+    bool isKnownStale { false }; ///< Upstreams have come, gone or begun a new life since it was written.
     bool storingKnown { false };
     std::vector<UpstreamTarget> earlierUpstreams; ///< Of the predecessors; may run tasks.
     StoreRevision watchFrom { 0 };
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -104,11 +104,29 @@
     state.placementDue = true;
 }
 
+/// The longest chain of steps, by the submitter's estimates.
+static Duration estimateChain(const JobSpec& spec)
+{
+    std::vector<Duration> ends;
+    Duration longest { 0 };
+    for (const StepSpec& step : spec.steps) {
+        Duration start { 0 };
+        for (int earlier : step.after) {
+            if (earlier >= 0 && static_cast<std::size_t>(earlier) < ends.size())
+                start = std::max(start, ends[earlier]);
+        }
+        ends.push_back(start + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
 static JobRow makeRow(const JobRecord& record, StoreRevision revision, TimePoint now)
 {
     JobRow row;
     row.record = record;
     row.revision = revision;
+    row.estimatedChain = estimateChain(record.spec);
     row.occurrences.resize(std::max(1, record.spec.occurrences));
     for (OccurrenceRow& occurrence : row.occurrences) {
         for (const StepSpec& spec : record.spec.steps) {
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -13,6 +13,8 @@
 namespace crocuslever::cell {
 
 static constexpr Duration kPassInterval = std::chrono::milliseconds(5);
+/// A long queue costs more to look through, and waits anyway.
+static constexpr Duration kPassIntervalPerCandidate = std::chrono::microseconds(25);
 /// Time alone makes work ready: occurrences fall due, pauses end, tickets lapse.
 static constexpr Duration kIdlePassInterval = std::chrono::milliseconds(50);
 /// A job is of no use to its submitter after this many times its objective.
@@ -52,28 +54,11 @@
 
 static const StepSpec& specOf(const Candidate& candidate) { return specOf(*candidate.job, candidate.step); }
 
-/// The longest chain of steps, by the submitter's estimates.
-static Duration estimateChain(const JobSpec& spec)
-{
-    std::vector<Duration> ends;
-    Duration longest { 0 };
-    for (const StepSpec& step : spec.steps) {
-        Duration start { 0 };
-        for (int earlier : step.after) {
-            if (earlier >= 0 && static_cast<std::size_t>(earlier) < ends.size())
-                start = std::max(start, ends[earlier]);
-        }
-        ends.push_back(start + step.estimate);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
 static bool isUseless(const JobRow& job, const Route& route, std::int64_t wallMs)
 {
     if (job.record.spec.occurrences > 0)
         return false;
-    double objectiveMs = route.stretch * toMilliseconds(estimateChain(job.record.spec)) + toMilliseconds(route.targetDuration);
+    double objectiveMs = route.stretch * toMilliseconds(job.estimatedChain) + toMilliseconds(route.targetDuration);
     return wallMs - job.record.acceptedMs > kUselessAfter * objectiveMs;
 }
 
@@ -131,14 +116,13 @@
     const StepSpec& spec = specOf(candidate);
     std::vector<Place> places;
     for (auto& [id, upstream] : state.upstreams) {
-        if (!takesWork(state, upstream, now) || !isSuitable(spec, *candidate.route, upstream))
+        int fits = countPlaces(candidate, upstream, most);
+        if (fits == 0 || !takesWork(state, upstream, now) || !isSuitable(spec, *candidate.route, upstream))
             continue;
         if (candidate.route->advice && !findTicket(rowOf(candidate), upstream, now))
             continue;
-        int fits = countPlaces(candidate, upstream, most);
         bool isNear = spec.dataRack.empty() || spec.dataRack == upstream.entry.rack;
-        if (fits > 0)
-            places.push_back({ &upstream, fits, roomOn(upstream).milliCpu - spec.each.milliCpu, isNear });
+        places.push_back({ &upstream, fits, roomOn(upstream).milliCpu - spec.each.milliCpu, isNear });
     }
     // The tightest fit keeps large rooms for large tasks.
     std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
@@ -287,15 +271,30 @@
     return true;
 }
 
+/// More than this is free nowhere.
+static Resources findLargestRoom(const CellState& state, TimePoint now)
+{
+    Resources largest;
+    for (const auto& [id, upstream] : state.upstreams) {
+        if (takesWork(state, upstream, now))
+            largest = maximum(largest, roomOn(upstream));
+    }
+    return largest;
+}
+
 void tickPlacement(CellState& state, const Instant& now, CellActions& actions)
 {
     bool isDue = state.placementDue ? now.steady >= state.nextPlacement : now.steady >= state.nextPlacement + kIdlePassInterval;
     if (!isDue || !mayOrder(state, now.steady) || !state.policy || state.stopping)
         return;
     state.placementDue = false;
-    state.nextPlacement = now.steady + kPassInterval;
+    std::vector<Candidate> candidates = collectCandidates(state, now);
+    state.nextPlacement = now.steady + kPassInterval + kPassIntervalPerCandidate * static_cast<std::int64_t>(candidates.size());
+    Resources largest = findLargestRoom(state, now.steady);
     bool hasTimeForAdvice = true;
-    for (const Candidate& candidate : collectCandidates(state, now)) {
+    for (const Candidate& candidate : candidates) {
+        if (!amountOf(specOf(candidate)).fitsIn(largest))
+            continue;
         bool isPlaced = specOf(candidate).gang ? placeGang(state, candidate, now, actions) : placeSingles(state, candidate, now, actions);
         if (!isPlaced && candidate.route->advice && hasTimeForAdvice)
             hasTimeForAdvice = askForAdvice(state, *candidate.route, candidate.step, now, actions);
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -22,8 +22,6 @@
 /// Beyond this many ends in one answer there may be more to come.
 static constexpr std::size_t kMostEndsListed = 500;
 
-std::string lifeOf(const DirectoryEntry& entry) { return entry.id + "@" + std::to_string(entry.bornMs); }
-
 UpstreamTarget targetOf(const UpstreamRow& upstream)
 {
     return { upstream.entry.id, upstream.entry.address, upstream.entry.bornMs };
@@ -40,10 +38,9 @@
 
 bool takesWork(const CellState& state, const UpstreamRow& upstream, TimePoint now)
 {
-    bool isKnownDurably = state.ownership.knownUpstreams.count(lifeOf(upstream.entry)) > 0;
     bool isSound = upstream.listed && upstream.fenced && upstream.silences == 0 && upstream.strangers == 0 && now >= upstream.unwellUntil;
     bool isOpen = !upstream.entry.draining && state.evacuated.count(upstream.entry.domain) == 0;
-    return isKnownDurably && isSound && isOpen && upstream.clockKnown;
+    return upstream.isStored && isSound && isOpen && upstream.clockKnown;
 }
 
 std::int64_t leaseUntil(const CellState& state, const UpstreamRow& upstream, TimePoint now)
@@ -61,6 +58,13 @@
     upstream.leasesEnd = std::max(upstream.leasesEnd, upstream.clockAt + left + kLeaseMargin);
 }
 
+static void nameLife(CellState& state, UpstreamRow& upstream)
+{
+    upstream.life = state.nextTicket++;
+    upstream.isStored = false;
+    state.ownership.isKnownStale = true;
+}
+
 /// Another life of the upstream knows nothing of the earlier one.
 static void beginLife(CellState& state, UpstreamRow& upstream, std::int64_t bornMs, const Instant& now, CellActions& actions)
 {
@@ -71,6 +75,7 @@
     for (const std::string& name : names)
         finishRun(state, upstream, name, RunEnd::Lapsed, "", now, actions);
     upstream.entry.bornMs = bornMs;
+    nameLife(state, upstream);
     upstream.fenced = false;
     upstream.strangers = 0;
     upstream.clockKnown = false;
@@ -92,6 +97,7 @@
     upstream.entry.id = target.id;
     upstream.entry.address = target.address;
     upstream.entry.bornMs = target.bornMs;
+    nameLife(state, upstream);
     upstream.leasesEnd = state.ownership.strangersEnd;
     upstream.nextLook = now;
 }
@@ -102,7 +108,9 @@
     bool isNew = upstream.entry.id.empty();
     if (!isNew && entry.bornMs < upstream.entry.bornMs)
         return; // An entry of an earlier life.
-    if (!isNew && upstream.entry.bornMs != entry.bornMs)
+    if (isNew)
+        nameLife(state, upstream);
+    else if (upstream.entry.bornMs != entry.bornMs)
         beginLife(state, upstream, entry.bornMs, now, actions);
     if (isNew || upstream.entry.draining != entry.draining || !upstream.listed) {
         state.placementDue = true;
@@ -135,42 +143,46 @@
     noteMissing(state, listed, actions);
 }
 
+static void takeKnownStored(CellState& state, const std::set<LifeId>& lives, const StoreReply& reply)
+{
+    Ownership& ownership = state.ownership;
+    ownership.storingKnown = false;
+    if (reply.status == StoreStatus::Ok) {
+        ownership.knownRevision = reply.revision;
+        state.placementDue = true;
+        for (auto& [id, upstream] : state.upstreams)
+            upstream.isStored = upstream.isStored || lives.count(upstream.life) > 0;
+        return;
+    }
+    ownership.isKnownStale = true;
+    // Done after all without an answer, or the first one of this owner. A later epoch shows in the next commit.
+    for (const StoreEntry& entry : reply.entries) {
+        if (reply.status == StoreStatus::Conflict && entry.key == kUpstreamsKey)
+            ownership.knownRevision = entry.modRevision;
+    }
+}
+
 /// Work goes only to upstreams that a successor would find in the store.
 static void storeKnownUpstreams(CellState& state, CellActions& actions)
 {
     Ownership& ownership = state.ownership;
-    if (ownership.storingKnown)
+    if (ownership.storingKnown || !ownership.isKnownStale)
         return;
+    ownership.storingKnown = true;
+    ownership.isKnownStale = false;
     std::vector<UpstreamTarget> targets;
-    std::set<std::string> lives;
-    bool isChanged = false;
+    std::set<LifeId> lives;
     for (const auto& [id, upstream] : state.upstreams) {
         targets.push_back(targetOf(upstream));
-        std::string life = lifeOf(upstream.entry);
-        isChanged = isChanged || ownership.knownUpstreams.count(life) == 0;
-        lives.insert(std::move(life));
+        lives.insert(upstream.life);
     }
-    if (!isChanged)
-        return;
-    ownership.storingKnown = true;
     StoreChange command;
     command.conditions = { { kEpochKey, ownership.guard }, { kUpstreamsKey, ownership.knownRevision } };
     command.puts = { { kUpstreamsKey, encodeUpstreams(targets), 0 } };
     std::int64_t token = ownership.token;
     auto then = [token, lives](CellState& s, const StoreReply& reply, const Instant&, CellActions&) {
-        if (!isOwner(s) || s.ownership.token != token)
-            return;
-        s.ownership.storingKnown = false;
-        if (reply.status == StoreStatus::Ok) {
-            s.ownership.knownUpstreams = lives;
-            s.ownership.knownRevision = reply.revision;
-            s.placementDue = true;
-        }
-        // Done after all without an answer, or the first one of this owner. A later epoch shows in the next commit.
-        for (const StoreEntry& entry : reply.entries) {
-            if (reply.status == StoreStatus::Conflict && entry.key == kUpstreamsKey)
-                s.ownership.knownRevision = entry.modRevision;
-        }
+        if (isOwner(s) && s.ownership.token == token)
+            takeKnownStored(s, lives, reply);
     };
     change(state, std::move(command), then, actions);
 }
@@ -242,6 +254,7 @@
         if (isGone) {
             state.looks.erase(upstream.look);
             it = state.upstreams.erase(it);
+            ownership.isKnownStale = true;
             continue;
         }
         if (upstream.look == 0 && now.steady >= upstream.nextLook && mayOrder(state, now.steady))
--- a/src/cell/Upstreams.h
+++ b/src/cell/Upstreams.h
@@ -17,8 +17,6 @@
 /// Adds an upstream that a predecessor may have placed work on.
 void addEarlierUpstream(CellState&, const UpstreamTarget&, TimePoint now);
 
-/// Names one life of an upstream.
-std::string lifeOf(const DirectoryEntry&);
 UpstreamTarget targetOf(const UpstreamRow&);
 
 /// True if new work may go there, room aside.
