Count each failed run once, by its number

Cause: after a change of owner the lists of several upstreams tell ends of several runs in any order. An end told again counted again (LOST: failed after three of four attempts), and an end of an earlier run than the listed one didn't count (BUDGET: a fifth run). Ruled out: a lost commit; the records in the store were right. Conclusion: the record keeps the numbers of failed runs, a gang's with each member, and an end names its upstream.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -51,7 +51,7 @@
     TaskPhase phase { TaskPhase::Waiting };
     std::string upstream; ///< Where its run is; empty while it waits.
     int run { 0 }; ///< The latest.
-    int failures { 0 };
+    std::set<int> failedRuns; ///< Numbers of the runs that ended as failed.
     std::string checkpoint;
     int percent { 0 }; ///< As last listed.
     TimePoint since; ///< When it entered the phase.
@@ -77,8 +77,7 @@
     std::vector<TaskRow> tasks;
     int done { 0 };
     int waiting { 0 };
-    int failedRuns { 0 }; ///< Of a gang.
-    int lastFailedRun { 0 }; ///< Of a gang; its members fail together.
+    std::set<int> failedRuns; ///< Of a gang, whose members fail together.
     StepAdvice advice;
 };
 
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -70,11 +71,11 @@
     int step { 0 };
     int index { 0 };
     bool done { false };
-    int failures { 0 };
+    std::set<int> failedRuns; ///< A gang's stand with each of its members.
     int lastRun { 0 }; ///< Highest run number that is known to have been used.
     std::string checkpoint;
 
-    auto tie() const { return std::tie(occurrence, step, index, done, failures, lastRun, checkpoint); }
+    auto tie() const { return std::tie(occurrence, step, index, done, failedRuns, lastRun, checkpoint); }
 };
 
 enum class JobState { Pending,
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -221,12 +221,11 @@
         TaskRow* task = findTask(state, key);
         if (!task)
             continue;
-        task->failures = progress.failures;
+        std::set<int>& failedRuns = specOf(*job, key).gang ? findStep(state, key)->failedRuns : task->failedRuns;
+        failedRuns.insert(progress.failedRuns.begin(), progress.failedRuns.end());
         task->run = progress.lastRun;
         task->checkpoint = progress.checkpoint;
         job->begun = true;
-        if (specOf(*job, key).gang)
-            findStep(state, key)->failedRuns = std::max(findStep(state, key)->failedRuns, progress.failures);
         if (progress.done)
             setPhase(state, key, TaskPhase::Done, now.steady);
     }
@@ -246,46 +245,57 @@
         setPhase(state, member, TaskPhase::Done, now);
 }
 
-/// True if the task, or its gang, has used up its attempts.
+/// Counts a failed run once, however often its end is told. True if the task,
+/// or its gang, has used up its attempts.
 static bool countFailure(CellState& state, JobRow& job, const TaskKey& key, int run)
 {
     const StepSpec& spec = specOf(job, key);
-    TaskRow& task = *findTask(state, key);
-    ++task.failures;
-    if (spec.lasting)
-        return false;
-    if (!spec.gang)
-        return task.failures >= attemptsOf(state, job);
-    StepRow& step = *findStep(state, key);
-    if (step.lastFailedRun != run)
-        ++step.failedRuns;
-    step.lastFailedRun = run;
-    return step.failedRuns >= attemptsOf(state, job);
+    std::set<int>& failedRuns = spec.gang ? findStep(state, key)->failedRuns : findTask(state, key)->failedRuns;
+    failedRuns.insert(run);
+    return !spec.lasting && static_cast<int>(failedRuns.size()) >= attemptsOf(state, job);
 }
 
-void takeRunEnd(CellState& state, const TaskKey& key, int run, RunEnd how, const std::string& checkpoint, const Instant& now, CellActions& actions)
+/// True if this is the end of the run that the task has now, or of a later one.
+static bool isEndOfLatest(const TaskRow& task, const RunEnded& end)
 {
-    TaskRow* task = findTask(state, key);
-    JobRow* job = findJob(state, key.job);
-    if (!task || job->ended || task->phase == TaskPhase::Done || run < task->run)
+    if (end.run != task.run || task.phase == TaskPhase::Waiting)
+        return end.run >= task.run;
+    return task.upstream == end.upstream;
+}
+
+static void noteEnd(const TaskRow& task, const RunEnded& end, const Instant& now, CellActions& actions)
+{
+    std::string age = std::to_string(toMilliseconds(now.steady - task.since));
+    note(actions, LogLevel::Info, "task.end", end.upstream, end.task.job, formatTaskKey(end.task) + " run " + std::to_string(end.run) + " " + toString(end.how) + " after " + age + " ms");
+}
+
+void takeRunEnd(CellState& state, const RunEnded& end, const Instant& now, CellActions& actions)
+{
+    TaskRow* task = findTask(state, end.task);
+    JobRow* job = findJob(state, end.task.job);
+    if (!task || job->ended || task->phase == TaskPhase::Done)
         return;
-    task->run = run;
     job->begun = true;
-    if (!checkpoint.empty())
-        task->checkpoint = checkpoint;
-    state.commits.dirty.insert(key.job);
-    note(actions, LogLevel::Info, "task.end", task->upstream, key.job, formatTaskKey(key) + " run " + std::to_string(run) + " " + toString(how) + " after " + std::to_string(toMilliseconds(now.steady - task->since)) + " ms");
-    if (how == RunEnd::Done && !specOf(*job, key).lasting) {
-        markDone(state, *job, key, now.steady);
-        endIfComplete(state, *job, now, actions);
-        return;
+    state.commits.dirty.insert(end.task.job);
+    noteEnd(*task, end, now, actions);
+    bool isLatest = isEndOfLatest(*task, end);
+    // Ends of several runs may be told in any order after a change of the owner.
+    bool isUsedUp = end.how == RunEnd::Failed && countFailure(state, *job, end.task, end.run);
+    if (isLatest) {
+        task->run = end.run;
+        if (!end.checkpoint.empty())
+            task->checkpoint = end.checkpoint;
+        if (end.how == RunEnd::Failed)
+            task->notBefore = now.steady + kPauseAfterFailure;
+        if (end.how == RunEnd::Done && !specOf(*job, end.task).lasting) {
+            markDone(state, *job, end.task, now.steady);
+            endIfComplete(state, *job, now, actions);
+            return;
+        }
+        setPhase(state, end.task, TaskPhase::Waiting, now.steady);
     }
-    bool isUsedUp = how == RunEnd::Failed && countFailure(state, *job, key, run);
-    if (how == RunEnd::Failed)
-        task->notBefore = now.steady + kPauseAfterFailure;
-    setPhase(state, key, TaskPhase::Waiting, now.steady);
     if (isUsedUp)
-        endJob(state, *job, JobState::Failed, formatTaskKey(key) + " has failed as often as its route allows", now, actions);
+        endJob(state, *job, JobState::Failed, formatTaskKey(end.task) + " has failed as often as its route allows", now, actions);
 }
 
 bool isStepReady(const CellState& state, const JobRow& job, int occurrence, int step, std::int64_t wallMs)
@@ -330,9 +340,9 @@
                 const TaskRow& task = steps[s].tasks[i];
                 bool isDone = task.phase == TaskPhase::Done;
                 bool isGang = job.record.spec.steps[s].gang;
-                int failures = isGang ? steps[s].failedRuns : task.failures;
-                if (isDone || failures > 0 || !task.checkpoint.empty())
-                    all.push_back({ static_cast<int>(k), static_cast<int>(s), static_cast<int>(i), isDone, failures, task.run, isDone ? std::string() : task.checkpoint });
+                const std::set<int>& failedRuns = isGang ? steps[s].failedRuns : task.failedRuns;
+                if (isDone || !failedRuns.empty() || !task.checkpoint.empty())
+                    all.push_back({ static_cast<int>(k), static_cast<int>(s), static_cast<int>(i), isDone, failedRuns, task.run, isDone ? std::string() : task.checkpoint });
             }
         }
     }
--- a/src/cell/Jobs.h
+++ b/src/cell/Jobs.h
@@ -19,9 +19,18 @@
 /// Moves a task to another phase and keeps the step's counts.
 void setPhase(CellState&, const TaskKey&, TaskPhase, TimePoint now);
 
-/// A run of the task has ended, whoever stopped it. Ends of runs before the
-/// latest change nothing.
-void takeRunEnd(CellState&, const TaskKey&, int run, RunEnd, const std::string& checkpoint, const Instant& now, CellActions&);
+/// A run of the task has ended.
+struct RunEnded {
+    TaskKey task;
+    int run { 0 };
+    std::string upstream;
+    RunEnd how { RunEnd::Failed };
+    std::string checkpoint;
+};
+
+/// Takes in the end of a run, as often as it is told. An end of another run
+/// than the latest counts as an attempt if it failed, and changes nothing else.
+void takeRunEnd(CellState&, const RunEnded&, const Instant& now, CellActions&);
 
 /// True if all steps that this one comes after are done and its time has come.
 bool isStepReady(const CellState&, const JobRow&, int occurrence, int step, std::int64_t wallMs);
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -175,7 +175,7 @@
     for (Place& it : places) {
         if (it.fits <= 0)
             continue;
-        if (task.failures == 0 || it.upstream->entry.id != task.upstream)
+        if (task.failedRuns.empty() || it.upstream->entry.id != task.upstream)
             return &it;
         second = &it;
     }
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -95,7 +95,8 @@
         row.set_step(task.step);
         row.set_index(task.index);
         row.set_done(task.done);
-        row.set_failures(task.failures);
+        for (int run : task.failedRuns)
+            row.add_failed_runs(run);
         row.set_last_run(task.lastRun);
         row.set_checkpoint(task.checkpoint);
     }
@@ -108,8 +109,10 @@
     if (!in.ParseFromString(bytes))
         return std::nullopt;
     std::vector<TaskProgress> tasks;
-    for (const wire::TaskProgress& row : in.tasks())
-        tasks.push_back({ row.occurrence(), row.step(), row.index(), row.done(), row.failures(), row.last_run(), row.checkpoint() });
+    for (const wire::TaskProgress& row : in.tasks()) {
+        std::set<int> failedRuns(row.failed_runs().begin(), row.failed_runs().end());
+        tasks.push_back({ row.occurrence(), row.step(), row.index(), row.done(), std::move(failedRuns), row.last_run(), row.checkpoint() });
+    }
     return tasks;
 }
 
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -190,7 +190,7 @@
     TaskKey key = it->second.task;
     int run = it->second.run;
     removeRun(state, upstream, name);
-    takeRunEnd(state, key, run, how, checkpoint, now, actions);
+    takeRunEnd(state, { key, run, upstream.entry.id, how, checkpoint }, now, actions);
 }
 
 static bool isGangRun(CellState& state, const TaskKey& key)
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -276,7 +276,7 @@
         auto run = upstream.runs.find(end.task);
         if (run != upstream.runs.end() && run->second.run <= end.run)
             removeRun(state, upstream, end.task);
-        takeRunEnd(state, *key, end.run, end.how, end.checkpoint, now, actions);
+        takeRunEnd(state, { *key, end.run, upstream.entry.id, end.how, end.checkpoint }, now, actions);
     }
 }
 
