--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -116,6 +116,7 @@
     TimePoint nextOrder; ///< When to send the order again, if none is in flight.
     int orders { 0 };
     TimePoint startedAt;
+    std::int64_t startedMs { 0 }; ///< Unix time of the order; 0: it was found running.
     int percent { 0 };
     std::int64_t gauge { 0 };
     int pace { 100 };
--- a/src/cell/Messages.h
+++ b/src/cell/Messages.h
@@ -175,6 +175,7 @@
     UpstreamTarget target;
     std::int64_t token { 0 };
     std::int64_t acknowledged { 0 }; ///< Ends up to here may be forgotten.
+    bool onSameConnection { false }; ///< As the look before, or not at all: another life may listen at the address.
     std::int64_t leaseUntilMs { 0 }; ///< On the upstream's clock; 0: leaves leases alone.
     Duration wait { 0 }; ///< For the next end.
 };
@@ -205,7 +206,7 @@
     std::string checkpoint;
 };
 
-enum class UpstreamOutcome {
+enum class OrderOutcome {
     Ok,
     Fenced, ///< It knows a higher token.
     Stale, ///< This run or a later one has ended there.
@@ -219,11 +220,11 @@
     NoAnswer, ///< It may have been done, or be done later.
 };
 
-const char* toString(UpstreamOutcome);
+const char* toString(OrderOutcome);
 
 struct LookResult {
     Ticket ticket { 0 };
-    UpstreamOutcome outcome { UpstreamOutcome::NoAnswer };
+    OrderOutcome outcome { OrderOutcome::NoAnswer };
     std::int64_t clockMs { 0 }; ///< The upstream's own.
     std::int64_t bornMs { 0 }; ///< 0: it didn't say.
     std::vector<RunListing> running;
@@ -262,7 +263,7 @@
 
 struct OrderResult {
     Ticket ticket { 0 };
-    UpstreamOutcome outcome { UpstreamOutcome::NoAnswer };
+    OrderOutcome outcome { OrderOutcome::NoAnswer };
     std::int64_t clockMs { 0 };
 };
 
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -34,30 +34,30 @@
     return "failed";
 }
 
-const char* toString(UpstreamOutcome outcome)
+const char* toString(OrderOutcome outcome)
 {
     switch (outcome) {
-    case UpstreamOutcome::Ok:
+    case OrderOutcome::Ok:
         return "ok";
-    case UpstreamOutcome::Fenced:
+    case OrderOutcome::Fenced:
         return "fenced by a higher token";
-    case UpstreamOutcome::Stale:
+    case OrderOutcome::Stale:
         return "an old run";
-    case UpstreamOutcome::TooLate:
+    case OrderOutcome::TooLate:
         return "the lease is over";
-    case UpstreamOutcome::NoRoom:
+    case OrderOutcome::NoRoom:
         return "no room";
-    case UpstreamOutcome::NoTicket:
+    case OrderOutcome::NoTicket:
         return "no valid ticket";
-    case UpstreamOutcome::Unwell:
+    case OrderOutcome::Unwell:
         return "refused for now";
-    case UpstreamOutcome::WrongLife:
+    case OrderOutcome::WrongLife:
         return "another life of the upstream";
-    case UpstreamOutcome::Malformed:
+    case OrderOutcome::Malformed:
         return "not understood";
-    case UpstreamOutcome::NotSent:
+    case OrderOutcome::NotSent:
         return "not sent";
-    case UpstreamOutcome::NoAnswer:
+    case OrderOutcome::NoAnswer:
         return "no answer";
     }
     return "no answer";
@@ -110,6 +110,7 @@
     task.percent = 0;
     setPhase(state, run.task, TaskPhase::Starting, now.steady);
     run.startedAt = now.steady;
+    run.startedMs = now.wallMs;
     takeRoom(state, upstream, run);
     RunRow& row = upstream.runs[name] = std::move(run);
     sendStart(state, upstream, name, row, now, actions);
@@ -200,7 +201,7 @@
 }
 
 /// The upstream has surely not begun the run, and never will.
-static void handleNotBegun(CellState& state, UpstreamRow& upstream, const std::string& name, UpstreamOutcome outcome, const Instant& now, CellActions& actions)
+static void handleNotBegun(CellState& state, UpstreamRow& upstream, const std::string& name, OrderOutcome outcome, const Instant& now, CellActions& actions)
 {
     RunRow run = upstream.runs.at(name);
     note(actions, LogLevel::Info, "task.start", upstream.entry.id, run.task.job, name + " run " + std::to_string(run.run) + " was not begun: " + toString(outcome));
@@ -213,20 +214,20 @@
         stopGang(state, run.task, now, actions);
 }
 
-static void judgeUpstream(UpstreamRow& upstream, UpstreamOutcome outcome, TimePoint now)
+static void judgeUpstream(UpstreamRow& upstream, OrderOutcome outcome, TimePoint now)
 {
-    bool isUnwell = outcome == UpstreamOutcome::Unwell || outcome == UpstreamOutcome::NotSent || outcome == UpstreamOutcome::NoAnswer
-        || outcome == UpstreamOutcome::WrongLife || outcome == UpstreamOutcome::NoRoom;
+    bool isUnwell = outcome == OrderOutcome::Unwell || outcome == OrderOutcome::NotSent || outcome == OrderOutcome::NoAnswer
+        || outcome == OrderOutcome::WrongLife || outcome == OrderOutcome::NoRoom;
     if (!isUnwell)
         return;
     upstream.unwellUntil = now + kUnwellPause;
     upstream.nextLook = std::min(upstream.nextLook, now);
 }
 
-static void handleStartResult(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, UpstreamOutcome outcome, const Instant& now, CellActions& actions)
+static void handleStartResult(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, OrderOutcome outcome, const Instant& now, CellActions& actions)
 {
     judgeUpstream(upstream, outcome, now.steady);
-    if (outcome == UpstreamOutcome::Ok) {
+    if (outcome == OrderOutcome::Ok) {
         run.confirmed = true;
         run.confirmedAt = now.steady;
         run.payload.clear();
@@ -239,12 +240,12 @@
             setPhase(state, run.task, TaskPhase::Running, now.steady);
         return;
     }
-    bool mayComeLater = outcome == UpstreamOutcome::NoAnswer || run.orders > 1;
+    bool mayComeLater = outcome == OrderOutcome::NoAnswer || run.orders > 1;
     if (!mayComeLater) {
         handleNotBegun(state, upstream, name, outcome, now, actions);
         return;
     }
-    if (outcome != UpstreamOutcome::NoAnswer || run.orders >= kMostStartOrders) {
+    if (outcome != OrderOutcome::NoAnswer || run.orders >= kMostStartOrders) {
         if (isGangRun(state, run.task))
             stopGang(state, run.task, now, actions);
         stopRun(state, upstream, name, now, actions);
@@ -252,9 +253,9 @@
     run.nextOrder = now.steady + kRetryInterval;
 }
 
-static void handleStopResult(UpstreamRow& upstream, RunRow& run, UpstreamOutcome outcome, const Instant& now)
+static void handleStopResult(UpstreamRow& upstream, RunRow& run, OrderOutcome outcome, const Instant& now)
 {
-    if (outcome == UpstreamOutcome::Ok || outcome == UpstreamOutcome::Stale) {
+    if (outcome == OrderOutcome::Ok || outcome == OrderOutcome::Stale) {
         run.stopConfirmed = true;
         run.stopConfirmedAt = now.steady;
         upstream.nextLook = std::min(upstream.nextLook, now.steady);
@@ -276,7 +277,7 @@
     auto it = upstream->second.runs.find(name);
     if (it == upstream->second.runs.end() || it->second.order != result.ticket)
         return;
-    if (result.outcome == UpstreamOutcome::Fenced) {
+    if (result.outcome == OrderOutcome::Fenced) {
         loseOwnership(state, "upstream " + id + " knows a higher token", actions);
         return;
     }
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -18,6 +18,8 @@
 /// Fits the round trip and the coarse clock of the upstream.
 static constexpr Duration kLeaseMargin = std::chrono::milliseconds(50);
 static constexpr double kSlowClock = 1.03; ///< An upstream's second may last this many of ours.
+/// Between our time of day and an upstream's.
+static constexpr std::int64_t kMostClockError = 6000; // ms
 static constexpr int kSilencesUntilUnwell = 1;
 /// Beyond this many ends in one answer there may be more to come.
 static constexpr std::size_t kMostEndsListed = 500;
@@ -50,12 +52,18 @@
     return upstream.clockMs + toMilliseconds(now - upstream.clockAt + state.settings.runLease);
 }
 
+/// When a lease is surely over by a clock that may be slow.
+static TimePoint leaseEndAfter(TimePoint from, Duration lease)
+{
+    return from + std::chrono::duration_cast<Duration>(lease * kSlowClock) + kLeaseMargin;
+}
+
 void extendLease(UpstreamRow& upstream, std::int64_t untilMs)
 {
     if (untilMs <= 0)
         return;
-    Duration left = std::chrono::duration_cast<Duration>(fromMilliseconds(untilMs - upstream.clockMs) * kSlowClock);
-    upstream.leasesEnd = std::max(upstream.leasesEnd, upstream.clockAt + left + kLeaseMargin);
+    Duration left = fromMilliseconds(untilMs - upstream.clockMs);
+    upstream.leasesEnd = std::max(upstream.leasesEnd, leaseEndAfter(upstream.clockAt, left));
 }
 
 static void nameLife(CellState& state, UpstreamRow& upstream)
@@ -65,15 +73,24 @@
     state.ownership.isKnownStale = true;
 }
 
-/// Another life of the upstream knows nothing of the earlier one.
+/// Another life of the upstream knows nothing of the earlier one; but an order
+/// for that one may be carried out by this one.
 static void beginLife(CellState& state, UpstreamRow& upstream, std::int64_t bornMs, const Instant& now, CellActions& actions)
 {
-    note(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "another life, begun at " + std::to_string(bornMs) + "; " + std::to_string(upstream.runs.size()) + " runs of the earlier one are gone");
-    std::vector<std::string> names;
-    for (const auto& [name, run] : upstream.runs)
-        names.push_back(name);
-    for (const std::string& name : names)
+    note(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "another life, begun at " + std::to_string(bornMs) + " with " + std::to_string(upstream.runs.size()) + " runs of ours");
+    std::vector<std::string> gone;
+    std::vector<std::string> doubtful;
+    for (const auto& [name, run] : upstream.runs) {
+        if (!run.confirmed)
+            continue; // Its order goes on, to the new life.
+        bool mayBeNew = run.startedMs + kMostClockError > bornMs;
+        (mayBeNew ? doubtful : gone).push_back(name);
+    }
+    for (const std::string& name : gone)
         finishRun(state, upstream, name, RunEnd::Lapsed, "", now, actions);
+    // The order may have reached the new life before we knew of it.
+    for (const std::string& name : doubtful)
+        stopRun(state, upstream, name, now, actions);
     upstream.entry.bornMs = bornMs;
     nameLife(state, upstream);
     upstream.fenced = false;
@@ -82,7 +99,8 @@
     upstream.lastEnd = 0;
     upstream.acknowledged = 0;
     upstream.silences = 0;
-    upstream.leasesEnd = {};
+    // Its clock starts anew, so an order for the former life may have brought it the longest lease that it gives.
+    upstream.leasesEnd = leaseEndAfter(now.steady, state.settings.longestLease);
     if (upstream.look != 0)
         state.looks.erase(upstream.look);
     upstream.look = 0;
@@ -194,7 +212,9 @@
     look.ticket = state.nextTicket++;
     look.target = targetOf(upstream);
     look.token = state.ownership.token;
-    look.acknowledged = upstream.acknowledged;
+    // Another life may answer after a silence; its ends count from 1 again.
+    look.acknowledged = upstream.silences > 0 ? 0 : upstream.acknowledged;
+    look.onSameConnection = look.acknowledged > 0;
     look.leaseUntilMs = leaseUntil(state, upstream, now.steady);
     bool isQuick = !upstream.fenced || upstream.silences > 0 || hasUnstoredEnds;
     look.wait = isQuick ? Duration(0) : kLookWait;
@@ -306,6 +326,7 @@
     run.amount = amountOf(specOf(*job, key));
     run.team = job->record.team;
     adoptRun(state, upstream, run, now);
+    upstream.leasesEnd = std::max(upstream.leasesEnd, leaseEndAfter(now.steady, state.settings.runLease));
     note(actions, LogLevel::Info, "task.adopt", upstream.entry.id, key.job, listing.task + " run " + std::to_string(listing.run) + " was found running");
     if (isSuperseded(state, key, upstream, listing.run)) {
         stopRun(state, upstream, listing.task, now, actions);
@@ -389,10 +410,12 @@
     upstream.nextLook = now.steady + (hasUnstoredEnds || upstream.strangers > 0 ? kUnstoredEndsInterval : Duration(0));
 }
 
-static void countSilence(CellState& state, UpstreamRow& upstream, UpstreamOutcome outcome, const Instant& now, CellActions& actions)
+static void countSilence(CellState& state, UpstreamRow& upstream, OrderOutcome outcome, const Instant& now, CellActions& actions)
 {
     ++upstream.silences;
-    upstream.nextLook = now.steady + kRetryInterval;
+    // The connection is gone: a new one is opened at once.
+    bool isFirst = upstream.silences == 1 && outcome == OrderOutcome::NotSent;
+    upstream.nextLook = now.steady + (isFirst ? Duration(0) : kRetryInterval);
     state.counters.add("upstream_look_failures_total");
     if (upstream.silences == kSilencesUntilUnwell)
         note(actions, LogLevel::Warning, "upstream.look", upstream.entry.id, "", std::string("failed: ") + toString(outcome) + "; " + std::to_string(upstream.runs.size()) + " runs there");
@@ -409,11 +432,11 @@
         return;
     UpstreamRow& upstream = it->second;
     upstream.look = 0;
-    if (result.outcome == UpstreamOutcome::Fenced) {
+    if (result.outcome == OrderOutcome::Fenced) {
         loseOwnership(state, "upstream " + upstream.entry.id + " knows a higher token", actions);
         return;
     }
-    if (result.outcome != UpstreamOutcome::Ok) {
+    if (result.outcome != OrderOutcome::Ok) {
         countSilence(state, upstream, result.outcome, now, actions);
         return;
     }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -129,6 +129,10 @@
             connection = std::make_shared<Connection>(m_io);
         m_busy.push_back(connection);
         connection->call = std::move(call);
+        if (!isOpen && connection->call.request.onKeptConnection) {
+            finish(connection, makeError(ErrorCode::Unavailable, connection->call.request, currentEndpoint(), asio::error::not_connected));
+            return;
+        }
         // One deadline over everything: a stopped peer still accepts connections and bytes.
         Duration timeout = connection->call.request.timeout;
         connection->stream.expires_after(timeout > Duration(0) ? timeout : m_settings.timeout);
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -20,6 +20,7 @@
     std::string bearerKey {}; ///< Shown to the service unless empty.
     std::vector<std::pair<std::string, std::string>> headers {};
     Duration timeout { 0 }; ///< 0: that of the client.
+    bool onKeptConnection { false }; ///< Fails as not sent where a connection would have to be opened.
 };
 
 /// A whole answer, of any status.
--- /dev/null
+++ b/tests/CellTest.cpp
@@ -0,0 +1,290 @@
+// The cell's decisions on the emulator: several instances, the store and the
+// upstreams on virtual time, with faults. No socket, clock or thread.
+
+#include <boost/test/unit_test.hpp>
+
+#include "src/cell/Jobs.h"
+#include "tests/emulator/CellEmulator.h"
+
+namespace crocuslever::cell::testing {
+
+namespace {
+
+constexpr Duration kSettle = std::chrono::seconds(3);
+
+std::string jobId(int n)
+{
+    std::string digits = std::to_string(n);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+StepSpec makeStep(int count, std::int64_t milliCpu)
+{
+    StepSpec step;
+    step.count = count;
+    step.each = { milliCpu, 100, 0, 0 };
+    step.estimate = std::chrono::milliseconds(500);
+    return step;
+}
+
+JobSpec makeJob(const TaskScript& script, std::vector<StepSpec> steps)
+{
+    JobSpec spec;
+    spec.payload = formatScript(script);
+    spec.steps = std::move(steps);
+    return spec;
+}
+
+TaskScript takes(std::int64_t ms, int failures = 0) { return { fromMilliseconds(ms), failures, 0 }; }
+
+struct Fixture {
+    explicit Fixture(const EmulatorSettings& emulatorSettings = {})
+        : settings(emulatorSettings)
+        , emulator(settings)
+    {
+        emulator.runFor(kSettle);
+        BOOST_REQUIRE(emulator.owner().has_value());
+    }
+
+    std::size_t owner() { return *emulator.owner(); }
+    std::size_t other() { return (owner() + 1) % static_cast<std::size_t>(settings.instances); }
+
+    bool isIn(int n, JobState state, std::size_t instance)
+    {
+        EntryReply reply = emulator.lookUp(jobId(n), instance);
+        return reply.outcome == EntryOutcome::State && reply.state == state;
+    }
+
+    bool waitFor(int n, JobState state, Duration limit, std::size_t instance)
+    {
+        TimePoint end = emulator.now() + limit;
+        while (emulator.now() < end) {
+            if (isIn(n, state, instance))
+                return true;
+            emulator.runFor(std::chrono::milliseconds(100));
+        }
+        return false;
+    }
+
+    void checkRules()
+    {
+        for (const std::string& broken : findBrokenRules(emulator, settings.capacity))
+            BOOST_ERROR(broken);
+    }
+
+    int startsOf(int n) const
+    {
+        return static_cast<int>(std::count_if(emulator.history().begin(), emulator.history().end(), [n](const RunRecord& run) { return parseTaskKey(run.task)->job == jobId(n); }));
+    }
+
+    EmulatorSettings settings;
+    CellEmulator emulator;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CellTest)
+
+BOOST_FIXTURE_TEST_CASE(StepsRunInOrderAndOnce, Fixture)
+{
+    StepSpec second = makeStep(3, 500);
+    second.after = { 0 };
+    emulator.submit(jobId(1), makeJob(takes(400), { makeStep(4, 1000), second }), other());
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::seconds(3), owner()));
+    BOOST_CHECK(isIn(1, JobState::Completed, other()));
+    BOOST_CHECK_EQUAL(startsOf(1), 7);
+    checkRules();
+}
+
+BOOST_FIXTURE_TEST_CASE(AJobSubmittedTwiceIsOneJob, Fixture)
+{
+    JobSpec spec = makeJob(takes(300), { makeStep(2, 1000) });
+    emulator.submit(jobId(1), spec, owner());
+    emulator.submit(jobId(1), spec, other());
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::seconds(3), owner()));
+    emulator.submit(jobId(1), spec, other());
+    emulator.runFor(std::chrono::seconds(2));
+    BOOST_CHECK_EQUAL(startsOf(1), 2);
+    BOOST_CHECK(emulator.jobs().at(jobId(1)).submitted == EntryOutcome::Accepted);
+}
+
+BOOST_FIXTURE_TEST_CASE(WaitsForRoomAndNeverOvercommits, Fixture)
+{
+    for (int n = 1; n <= 20; ++n)
+        emulator.submit(jobId(n), makeJob(takes(300), { makeStep(6, 3000) }), other());
+    for (int n = 1; n <= 20; ++n)
+        BOOST_CHECK(waitFor(n, JobState::Completed, std::chrono::seconds(20), owner()));
+    checkRules();
+}
+
+BOOST_FIXTURE_TEST_CASE(ACancelledJobStopsAndStartsNoMore, Fixture)
+{
+    emulator.submit(jobId(1), makeJob(takes(60000), { makeStep(40, 2000) }), other());
+    emulator.runFor(std::chrono::seconds(1));
+    emulator.cancel(jobId(1), other());
+    emulator.runFor(std::chrono::seconds(4));
+    BOOST_CHECK(isIn(1, JobState::Cancelled, owner()));
+    for (const RunRecord& run : emulator.history())
+        BOOST_CHECK(run.to < emulator.now());
+    checkRules();
+}
+
+BOOST_FIXTURE_TEST_CASE(ATaskThatKeepsFailingFailsItsJob, Fixture)
+{
+    emulator.submit(jobId(1), makeJob(takes(100, 99), { makeStep(1, 1000) }), owner());
+    BOOST_CHECK(waitFor(1, JobState::Failed, std::chrono::seconds(5), owner()));
+    BOOST_CHECK_EQUAL(startsOf(1), 3);
+    checkRules();
+}
+
+// Ends of several runs are told in any order after a change of the owner, and some again.
+BOOST_AUTO_TEST_CASE(AttemptsCountOnceOverAChangeOfOwner)
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.seed = seed;
+            Fixture fixture(settings);
+            // The owner takes ends in and can't store them.
+            for (int n = 1; n <= 10; ++n)
+                fixture.emulator.submit(jobId(n), makeJob(takes(150, n % 2 == 0 ? 2 : 99), { makeStep(1, 1000) }), fixture.owner());
+            fixture.emulator.runFor(std::chrono::milliseconds(100 + 40 * static_cast<std::int64_t>(seed)));
+            std::size_t former = fixture.owner();
+            fixture.emulator.cutFromStore(former, true);
+            fixture.emulator.runFor(std::chrono::milliseconds(400));
+            fixture.emulator.kill(former);
+            BOOST_REQUIRE(fixture.emulator.runUntil(std::chrono::seconds(6), [&] { return fixture.emulator.owner().has_value(); }));
+            for (int n = 1; n <= 10; ++n)
+                BOOST_CHECK(fixture.waitFor(n, n % 2 == 0 ? JobState::Completed : JobState::Failed, std::chrono::seconds(20), fixture.owner()));
+            for (int n = 1; n <= 10; ++n)
+                BOOST_CHECK_EQUAL(fixture.startsOf(n), 3);
+            fixture.checkRules();
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(RunsGoOnWhenTheOwnerIsReplaced, Fixture)
+{
+    for (int n = 1; n <= 4; ++n)
+        emulator.submit(jobId(n), makeJob(takes(6000), { makeStep(4, 1000) }), other());
+    emulator.runFor(std::chrono::seconds(1));
+    emulator.restart(owner());
+    BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(5), [&] { return emulator.owner().has_value(); }));
+    for (int n = 1; n <= 4; ++n) {
+        BOOST_CHECK(waitFor(n, JobState::Completed, std::chrono::seconds(12), owner()));
+        BOOST_CHECK_EQUAL(startsOf(n), 4);
+    }
+    checkRules();
+}
+
+BOOST_FIXTURE_TEST_CASE(RunsGoOnWhileTheStoreIsDown, Fixture)
+{
+    emulator.submit(jobId(1), makeJob(takes(2000), { makeStep(4, 1000) }), other());
+    emulator.runFor(std::chrono::seconds(1));
+    emulator.setStoreDown(true);
+    emulator.runFor(std::chrono::milliseconds(4500));
+    BOOST_CHECK(isIn(1, JobState::Completed, owner()));
+    emulator.submit(jobId(2), makeJob(takes(100), { makeStep(1, 1000) }), other());
+    emulator.runFor(std::chrono::seconds(1));
+    BOOST_CHECK(emulator.jobs().at(jobId(2)).submitted == EntryOutcome::Refused);
+    emulator.setStoreDown(false);
+    emulator.runFor(std::chrono::seconds(3));
+    BOOST_CHECK(isIn(1, JobState::Completed, other()));
+    BOOST_CHECK_EQUAL(startsOf(1), 4);
+    BOOST_CHECK_EQUAL(startsOf(2), 0);
+    checkRules();
+}
+
+BOOST_FIXTURE_TEST_CASE(WorkOnAnUpstreamOutOfReachMovesOnceItsLeasesAreOver, Fixture)
+{
+    emulator.submit(jobId(1), makeJob(takes(9000), { makeStep(12, 1000) }), other());
+    emulator.runFor(std::chrono::seconds(1));
+    std::string cut = emulator.history().front().upstream;
+    emulator.cutUpstream(cut, true);
+    emulator.runFor(std::chrono::seconds(9));
+    emulator.cutUpstream(cut, false);
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::seconds(25), owner()));
+    checkRules();
+}
+
+BOOST_FIXTURE_TEST_CASE(ACrashedUpstreamsWorkStartsElsewhere, Fixture)
+{
+    emulator.submit(jobId(1), makeJob(takes(2000), { makeStep(12, 1000) }), other());
+    emulator.runFor(std::chrono::seconds(1));
+    emulator.crashUpstream(emulator.history().front().upstream);
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::seconds(12), owner()));
+    checkRules();
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingStartsInAnEvacuatedDomain, Fixture)
+{
+    emulator.evacuate("domain-0", true);
+    emulator.runFor(std::chrono::seconds(1));
+    TimePoint since = emulator.now();
+    for (int n = 1; n <= 10; ++n)
+        emulator.submit(jobId(n), makeJob(takes(300), { makeStep(4, 1000) }), other());
+    BOOST_CHECK(waitFor(10, JobState::Completed, std::chrono::seconds(5), owner()));
+    for (const RunRecord& run : emulator.history())
+        BOOST_CHECK(run.from < since || (run.upstream != "u0" && run.upstream != "u3"));
+}
+
+BOOST_FIXTURE_TEST_CASE(AGangStartsWholeAndWaitsForRoom, Fixture)
+{
+    StepSpec gang = makeStep(6, 8000);
+    gang.gang = true;
+    emulator.submit(jobId(1), makeJob(takes(1000), { makeStep(1, 1000) }), other());
+    emulator.runFor(std::chrono::milliseconds(200));
+    emulator.submit(jobId(2), makeJob(takes(500), { gang }), other());
+    emulator.runFor(std::chrono::milliseconds(300));
+    BOOST_CHECK_EQUAL(startsOf(2), 0);
+    BOOST_CHECK(waitFor(2, JobState::Completed, std::chrono::seconds(5), owner()));
+    checkRules();
+}
+
+// Everything at once, from many seeds: rules hold, and every job ends.
+BOOST_AUTO_TEST_CASE(RulesHoldUnderManyFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.seed = seed;
+            settings.lateOrders = 0.03;
+            settings.lostAnswers = 0.03;
+            Fixture fixture(settings);
+            CellEmulator& emulator = fixture.emulator;
+            std::mt19937_64 random(seed);
+            for (int n = 1; n <= 40; ++n) {
+                StepSpec second = makeStep(2, 1000);
+                second.after = { 0 };
+                emulator.submit(jobId(n), makeJob(takes(200 + 40 * (n % 10), n % 7 == 0 ? 1 : 0), { makeStep(3, 1500), second }), static_cast<std::size_t>(n) % 3);
+                emulator.runFor(std::chrono::milliseconds(150));
+                if (n % 10 == 0 && emulator.owner())
+                    emulator.restart(random() % 2 == 0 ? *emulator.owner() : random() % 3);
+                if (n % 13 == 0)
+                    emulator.crashUpstream("u" + std::to_string(random() % 6));
+                emulator.setStoreDown(n % 17 >= 15);
+                emulator.cutUpstream("u" + std::to_string(n % 6), n % 9 == 0);
+            }
+            emulator.setStoreDown(false);
+            for (const std::string& id : emulator.upstreamIds())
+                emulator.cutUpstream(id, false);
+            emulator.runFor(std::chrono::seconds(20));
+            BOOST_REQUIRE(emulator.owner().has_value());
+            for (const auto& [id, job] : emulator.jobs()) {
+                EntryReply reply = emulator.lookUp(id, fixture.owner());
+                bool isEnded = reply.outcome == EntryOutcome::State && reply.state == JobState::Completed;
+                bool isOwed = job.submitted == EntryOutcome::Accepted;
+                BOOST_CHECK_MESSAGE(!isOwed || isEnded, "LOST: " + id + " is " + toString(reply.state));
+                int starts = fixture.startsOf(std::atoi(id.c_str()));
+                BOOST_CHECK_MESSAGE(job.submitted != EntryOutcome::Refused || starts == 0, "REFUSED: " + id + " was started");
+            }
+            fixture.checkRules();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace crocuslever::cell::testing
--- /dev/null
+++ b/tests/emulator/CellEmulator.cpp
@@ -0,0 +1,482 @@
+#include "tests/emulator/CellEmulator.h"
+
+#include <algorithm>
+
+namespace crocuslever::cell::testing {
+
+static constexpr Duration kTickInterval = std::chrono::milliseconds(8);
+static constexpr Duration kSilence = std::chrono::milliseconds(500); ///< Until a caller gives an answer up.
+static constexpr Duration kPollInterval = std::chrono::milliseconds(2); ///< Of waits for a change or an end.
+static constexpr const char* kDirectoryService = "service";
+
+CellEmulator::CellEmulator(const EmulatorSettings& settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_instances(static_cast<std::size_t>(settings.instances))
+{
+    m_policy.version = 1;
+    m_policy.services[kDirectoryService] = { kDirectoryService, false };
+    Route route;
+    route.name = "route";
+    route.host = "host";
+    route.prefix = "/jobs/";
+    route.isPublic = true;
+    route.service = kDirectoryService;
+    route.attempts = 3;
+    route.stretch = 2.0;
+    route.targetDuration = std::chrono::seconds(1);
+    m_policy.routes.push_back(route);
+    for (int n = 0; n < settings.upstreams; ++n) {
+        std::string id = "u" + std::to_string(n);
+        UpstreamSlot& slot = m_upstreams[id];
+        std::string domain = "domain-" + std::to_string(n % 3);
+        slot.entry = { id, kDirectoryService, id + ":1", domain, false, Duration(0), settings.capacity, {}, "rack-" + std::to_string(n / 2), m_queue.now().wallMs - 1000 };
+        slot.life = std::make_unique<EmulatedUpstream>(id, slot.entry.bornMs, m_history, m_failures);
+    }
+    for (std::size_t n = 0; n < m_instances.size(); ++n)
+        boot(n);
+}
+
+Duration CellEmulator::latency(std::int64_t leastMs, std::int64_t mostMs)
+{
+    return fromMilliseconds(std::uniform_int_distribution<std::int64_t>(leastMs, mostMs)(m_random));
+}
+
+bool CellEmulator::chance(double share) { return std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < share; }
+
+void CellEmulator::boot(std::size_t n)
+{
+    InstanceSlot& slot = m_instances[n];
+    CellSettings settings;
+    settings.instance = "i" + std::to_string(n);
+    settings.incarnation = settings.instance + "-" + std::to_string(++slot.lives);
+    settings.address = settings.instance;
+    settings.seed = m_random();
+    slot.state = std::make_unique<CellState>(settings);
+    int life = slot.lives;
+    m_queue.after(latency(0, 20), [this, n, life] { tickInstance(n, life); });
+}
+
+void CellEmulator::kill(std::size_t n) { m_instances[n].state.reset(); }
+
+void CellEmulator::restart(std::size_t n)
+{
+    kill(n);
+    boot(n);
+}
+
+void CellEmulator::crashUpstream(const std::string& id)
+{
+    UpstreamSlot& slot = m_upstreams.at(id);
+    slot.life->crash(now());
+    slot.entry.bornMs = m_queue.now().wallMs;
+    slot.life = std::make_unique<EmulatedUpstream>(id, slot.entry.bornMs, m_history, m_failures);
+}
+
+void CellEmulator::evacuate(const std::string& domain, bool isEvacuated)
+{
+    if (isEvacuated)
+        m_evacuated.insert(domain);
+    else
+        m_evacuated.erase(domain);
+}
+
+void CellEmulator::runFor(Duration duration) { m_queue.runUntil(now() + duration); }
+
+bool CellEmulator::runUntil(Duration limit, const std::function<bool()>& isTrue)
+{
+    TimePoint end = now() + limit;
+    while (!isTrue()) {
+        if (now() >= end)
+            return false;
+        runFor(std::chrono::milliseconds(10));
+    }
+    return true;
+}
+
+std::optional<std::size_t> CellEmulator::owner() const
+{
+    for (std::size_t n = 0; n < m_instances.size(); ++n) {
+        const std::unique_ptr<CellState>& state = m_instances[n].state;
+        if (state && state->ownership.phase == OwnerPhase::Deciding)
+            return n;
+    }
+    return std::nullopt;
+}
+
+std::vector<std::string> CellEmulator::upstreamIds() const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, slot] : m_upstreams)
+        ids.push_back(id);
+    return ids;
+}
+
+// Instances.
+
+void CellEmulator::deliver(const Caller& caller, Duration delay, CellEvent event)
+{
+    m_queue.after(delay, [this, caller, event] { take(caller, event); });
+}
+
+void CellEmulator::take(const Caller& caller, const CellEvent& event)
+{
+    InstanceSlot& slot = m_instances[caller.instance];
+    if (!slot.state || slot.lives != caller.life)
+        return;
+    CellActions actions;
+    handleEvent(*slot.state, event, m_queue.now(), actions);
+    tick(*slot.state, m_queue.now(), actions);
+    dispatch(caller, std::move(actions));
+}
+
+void CellEmulator::tickInstance(std::size_t n, int life)
+{
+    InstanceSlot& slot = m_instances[n];
+    if (!slot.state || slot.lives != life)
+        return;
+    CellActions actions;
+    tick(*slot.state, m_queue.now(), actions);
+    dispatch({ n, life }, std::move(actions));
+    m_queue.after(kTickInterval, [this, n, life] { tickInstance(n, life); });
+}
+
+void CellEmulator::dispatch(const Caller& caller, CellActions actions)
+{
+    for (const CellAction& action : actions)
+        std::visit([this, &caller](const auto& it) { perform(caller, it); }, action);
+}
+
+// Callers.
+
+void CellEmulator::submit(const std::string& id, const JobSpec& spec, std::size_t instance)
+{
+    m_jobs[id].spec = spec;
+    EntryCall call { m_nextCall++, Verb::Submit, "host", "/jobs/" + id, "", spec, std::chrono::seconds(3) };
+    m_calls[{ instance, call.id }] = [this, id](const EntryReply& reply) {
+        m_jobs[id].submitted = reply.outcome;
+        m_jobs[id].isAnswered = true;
+    };
+    take({ instance, m_instances[instance].lives }, call);
+}
+
+void CellEmulator::cancel(const std::string& id, std::size_t instance)
+{
+    EntryCall call { m_nextCall++, Verb::Cancel, "host", "/jobs/" + id, "", std::nullopt, std::chrono::seconds(3) };
+    m_calls[{ instance, call.id }] = [this, id](const EntryReply& reply) {
+        if (reply.outcome == EntryOutcome::Cancelled)
+            m_jobs[id].cancelledAt = now();
+    };
+    take({ instance, m_instances[instance].lives }, call);
+}
+
+EntryReply CellEmulator::lookUp(const std::string& id, std::size_t instance)
+{
+    EntryCall call { m_nextCall++, Verb::Lookup, "host", "/jobs/" + id, "", std::nullopt, std::chrono::seconds(3) };
+    std::optional<EntryReply> answer;
+    m_calls[{ instance, call.id }] = [&answer](const EntryReply& reply) { answer = reply; };
+    take({ instance, m_instances[instance].lives }, call);
+    runUntil(std::chrono::seconds(4), [&answer] { return answer.has_value(); });
+    m_calls.erase({ instance, call.id });
+    return answer.value_or(EntryReply {});
+}
+
+void CellEmulator::perform(const Caller& caller, const EntryReply& reply)
+{
+    auto it = m_calls.find({ caller.instance, reply.id });
+    if (it == m_calls.end())
+        return;
+    auto then = std::move(it->second);
+    m_calls.erase(it);
+    then(reply);
+}
+
+// The store.
+
+void CellEmulator::failStoreCall(const Caller& caller, Ticket ticket, StoreStatus status)
+{
+    StoreReply reply;
+    reply.ticket = ticket;
+    reply.status = status;
+    deliver(caller, status == StoreStatus::Refused ? latency(1, 5) : kSilence, reply);
+}
+
+static std::string endOfPrefix(std::string prefix)
+{
+    ++prefix.back();
+    return prefix;
+}
+
+StoreReply CellEmulator::readStore(const std::string& prefix, bool isSingle)
+{
+    m_store.expireLeases(now());
+    crocuslever::testing::ModelOperation read;
+    read.kind = crocuslever::testing::ModelOperationKind::Range;
+    read.key = prefix;
+    if (!isSingle)
+        read.rangeEnd = endOfPrefix(prefix);
+    StoreReply reply;
+    reply.entries = m_store.range(read).value().entries;
+    reply.revision = m_store.revision();
+    bool isMissing = isSingle && reply.entries.empty();
+    reply.status = isMissing ? StoreStatus::NotFound : StoreStatus::Ok;
+    return reply;
+}
+
+void CellEmulator::perform(const Caller& caller, const StoreRead& call)
+{
+    if (isStoreAway(caller.instance)) {
+        failStoreCall(caller, call.ticket, StoreStatus::Refused);
+        return;
+    }
+    StoreReply reply = readStore(call.key, true);
+    reply.ticket = call.ticket;
+    deliver(caller, latency(3, 8), reply);
+}
+
+void CellEmulator::perform(const Caller& caller, const StoreList& call)
+{
+    if (isStoreAway(caller.instance)) {
+        failStoreCall(caller, call.ticket, StoreStatus::Refused);
+        return;
+    }
+    StoreReply reply = readStore(call.prefix, false);
+    reply.ticket = call.ticket;
+    deliver(caller, latency(3, 8), reply);
+}
+
+void CellEmulator::perform(const Caller& caller, const StoreAwait& call) { awaitStore(caller, call, now() + call.wait); }
+
+void CellEmulator::awaitStore(const Caller& caller, const StoreAwait& call, TimePoint deadline)
+{
+    if (isStoreAway(caller.instance)) {
+        failStoreCall(caller, call.ticket, StoreStatus::NoAnswer);
+        return;
+    }
+    m_store.expireLeases(now());
+    std::vector<crocuslever::testing::ModelChange> changes = m_store.changesSince(call.revision + 1, call.prefix, endOfPrefix(call.prefix));
+    if (changes.empty() && now() < deadline) {
+        m_queue.after(kPollInterval, [this, caller, call, deadline] { awaitStore(caller, call, deadline); });
+        return;
+    }
+    StoreReply reply;
+    reply.ticket = call.ticket;
+    reply.status = StoreStatus::Ok;
+    reply.revision = m_store.revision();
+    for (const crocuslever::testing::ModelChange& change : changes) {
+        if (change.deleted)
+            reply.deleted.push_back(change.entry.key);
+        else
+            reply.entries.push_back(change.entry);
+    }
+    deliver(caller, latency(2, 4), reply);
+}
+
+static crocuslever::testing::ModelTransaction toModel(const StoreChange& call)
+{
+    crocuslever::testing::ModelTransaction transaction;
+    for (const StoreCompare& condition : call.conditions) {
+        transaction.compares.push_back({ condition.key, std::nullopt, condition.modRevision });
+        crocuslever::testing::ModelOperation read;
+        read.kind = crocuslever::testing::ModelOperationKind::Range;
+        read.key = condition.key;
+        transaction.failure.push_back(read);
+    }
+    for (const StorePut& put : call.puts) {
+        crocuslever::testing::ModelOperation write;
+        write.key = put.key;
+        write.value = put.value;
+        write.lease = put.lease;
+        transaction.success.push_back(write);
+    }
+    for (const std::string& key : call.deletes) {
+        crocuslever::testing::ModelOperation erase;
+        erase.kind = crocuslever::testing::ModelOperationKind::Delete;
+        erase.key = key;
+        transaction.success.push_back(erase);
+    }
+    return transaction;
+}
+
+void CellEmulator::perform(const Caller& caller, const StoreChange& call)
+{
+    if (isStoreAway(caller.instance)) {
+        failStoreCall(caller, call.ticket, StoreStatus::Refused);
+        return;
+    }
+    m_store.expireLeases(now());
+    Result<crocuslever::testing::ModelTransactionResult> result = m_store.transact(toModel(call));
+    if (chance(m_settings.lostAnswers)) {
+        failStoreCall(caller, call.ticket, StoreStatus::NoAnswer);
+        return;
+    }
+    StoreReply reply;
+    reply.ticket = call.ticket;
+    // The model knows no such lease.
+    reply.status = StoreStatus::NotFound;
+    if (result.has_value()) {
+        reply.status = result.value().succeeded ? StoreStatus::Ok : StoreStatus::Conflict;
+        reply.revision = result.value().revision;
+        for (const crocuslever::testing::ModelOperationResult& it : result.value().results)
+            reply.entries.insert(reply.entries.end(), it.entries.begin(), it.entries.end());
+    }
+    deliver(caller, latency(3, 8), reply);
+}
+
+void CellEmulator::perform(const Caller& caller, const LeaseGrant& call)
+{
+    if (isStoreAway(caller.instance)) {
+        failStoreCall(caller, call.ticket, StoreStatus::Refused);
+        return;
+    }
+    StoreReply reply;
+    reply.ticket = call.ticket;
+    reply.status = StoreStatus::Ok;
+    // The model counts whole seconds.
+    reply.lease = m_store.grantLease((toMilliseconds(call.timeToLive) + 999) / 1000, now());
+    deliver(caller, latency(3, 8), reply);
+}
+
+void CellEmulator::perform(const Caller& caller, const LeaseRenew& call)
+{
+    if (isStoreAway(caller.instance)) {
+        failStoreCall(caller, call.ticket, StoreStatus::Refused);
+        return;
+    }
+    m_store.expireLeases(now());
+    StoreReply reply;
+    reply.ticket = call.ticket;
+    reply.status = m_store.keepLeaseAlive(call.lease, now()) > 0 ? StoreStatus::Ok : StoreStatus::NotFound;
+    deliver(caller, latency(3, 8), reply);
+}
+
+void CellEmulator::perform(const Caller& caller, const LeaseEnd& call)
+{
+    if (!isStoreAway(caller.instance))
+        m_store.revokeLease(call.lease);
+}
+
+void CellEmulator::perform(const Caller& caller, const ReadDeclarations& call)
+{
+    DeclarationsRead read;
+    read.ticket = call.ticket;
+    read.ok = !isStoreAway(caller.instance);
+    read.policy = std::make_shared<const FleetPolicy>(m_policy);
+    read.evacuated = m_evacuated;
+    deliver(caller, latency(3, 8), read);
+}
+
+void CellEmulator::perform(const Caller& caller, const ReadDirectory& call)
+{
+    DirectoryRead read;
+    read.ticket = call.ticket;
+    read.ok = !isStoreAway(caller.instance);
+    for (const auto& [id, slot] : m_upstreams) {
+        if (slot.isListed)
+            read.entries.push_back(slot.entry);
+    }
+    deliver(caller, latency(3, 8), read);
+}
+
+// Upstreams.
+
+void CellEmulator::perform(const Caller& caller, const UpstreamLook& call)
+{
+    std::int64_t bornMs = m_upstreams.at(call.target.id).life->bornMs();
+    std::int64_t& connected = m_connectedLives[{ caller.instance, call.target.id }];
+    if (call.onSameConnection && connected != bornMs) {
+        deliver(caller, Duration(0), LookResult { call.ticket, OrderOutcome::NotSent, 0, 0, {}, {} });
+        return;
+    }
+    connected = bornMs;
+    awaitEnd(caller, call, bornMs, now() + call.wait);
+}
+
+void CellEmulator::awaitEnd(const Caller& caller, const UpstreamLook& call, std::int64_t bornMs, TimePoint deadline)
+{
+    UpstreamSlot& slot = m_upstreams.at(call.target.id);
+    if (slot.isCut || slot.life->bornMs() != bornMs) {
+        deliver(caller, kSilence, LookResult { call.ticket, OrderOutcome::NoAnswer, 0, 0, {}, {} });
+        return;
+    }
+    LookResult result = slot.life->look(call, now());
+    bool waits = result.outcome == OrderOutcome::Ok && result.ended.empty() && now() < deadline;
+    if (waits) {
+        m_queue.after(kPollInterval, [this, caller, call, bornMs, deadline] { awaitEnd(caller, call, bornMs, deadline); });
+        return;
+    }
+    result.ticket = call.ticket;
+    deliver(caller, latency(1, 4), result);
+}
+
+static OrderOutcome apply(EmulatedUpstream& upstream, const RunStart& order, TimePoint now) { return upstream.start(order, now); }
+static OrderOutcome apply(EmulatedUpstream& upstream, const RunStop& order, TimePoint now) { return upstream.stop(order, now); }
+
+template <typename Order>
+void CellEmulator::carryOut(const Caller& caller, const Order& order)
+{
+    UpstreamSlot& slot = m_upstreams.at(order.target.id);
+    bool isLate = chance(m_settings.lateOrders);
+    if (slot.isCut || isLate) {
+        deliver(caller, kSilence, OrderResult { order.ticket, OrderOutcome::NoAnswer, 0 });
+        // What is carried out late waits in the upstream, and goes with its life.
+        std::int64_t bornMs = slot.life->bornMs();
+        auto carryOutLate = [this, order, bornMs] {
+            EmulatedUpstream& life = *m_upstreams.at(order.target.id).life;
+            if (life.bornMs() == bornMs)
+                apply(life, order, now());
+        };
+        if (!slot.isCut)
+            m_queue.after(latency(2000, 8000), carryOutLate);
+        return;
+    }
+    Duration there = latency(0, 3);
+    m_queue.after(there, [this, caller, order] {
+        OrderOutcome outcome = apply(*m_upstreams.at(order.target.id).life, order, now());
+        deliver(caller, latency(0, 3), OrderResult { order.ticket, outcome, 0 });
+    });
+}
+
+void CellEmulator::perform(const Caller& caller, const RunStart& order) { carryOut(caller, order); }
+void CellEmulator::perform(const Caller& caller, const RunStop& order) { carryOut(caller, order); }
+
+void CellEmulator::perform(const Caller& caller, const RunPace& order)
+{
+    deliver(caller, latency(1, 4), OrderResult { order.ticket, OrderOutcome::Ok, 0 });
+}
+
+void CellEmulator::perform(const Caller& caller, const AskAdvice& ask)
+{
+    const AdviceTiming timing = m_policy.routes.front().advice.value_or(AdviceTiming {});
+    Duration takes = timing.base + timing.perUpstream * static_cast<std::int64_t>(ask.upstreams.size());
+    TimePoint& free = m_adviceFree[caller.instance];
+    free = std::max(free, now()) + takes;
+    m_adviceBusy += takes;
+    AdviceResult result { ask.ticket, true, {}, timing.validity };
+    for (const std::string& id : ask.upstreams)
+        result.good.push_back({ id, "ticket" });
+    deliver(caller, free - now(), result);
+}
+
+void CellEmulator::perform(const Caller&, const SendPeerFrame& frame)
+{
+    for (std::size_t n = 0; n < m_instances.size(); ++n) {
+        bool isReceiver = m_instances[n].state && m_instances[n].state->settings.address == frame.address;
+        if (isReceiver)
+            deliver({ n, m_instances[n].lives }, latency(1, 3), PeerFrame { "", frame.bytes });
+    }
+}
+
+void CellEmulator::perform(const Caller& caller, const LogLine& line)
+{
+    if (std::getenv("EMULATOR_LOG"))
+        std::fprintf(stderr, "%lld i%zu %s %s %s %s\n", static_cast<long long>(toMilliseconds(now().time_since_epoch())), caller.instance, line.step.c_str(), line.peer.c_str(), line.job.c_str(), line.message.c_str());
+}
+
+void CellEmulator::perform(const Caller& caller, const Finished&)
+{
+    std::size_t n = caller.instance;
+    m_queue.after(Duration(0), [this, n] { kill(n); });
+}
+
+} // namespace crocuslever::cell::testing
--- /dev/null
+++ b/tests/emulator/CellEmulator.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/cell/CellState.h"
+#include "tests/emulator/EmulatedUpstream.h"
+#include "tests/emulator/EventQueue.h"
+#include "tests/support/StoreModel.h"
+
+namespace crocuslever::cell::testing {
+
+struct EmulatorSettings {
+    int instances { 3 };
+    int upstreams { 6 };
+    Resources capacity { 8000, 16000, 0, 0 };
+    std::uint64_t seed { 1 };
+    double lateOrders { 0.0 }; ///< Share of orders without an answer, carried out seconds later.
+    double lostAnswers { 0.0 }; ///< Share of the store's changes that are done and not answered.
+};
+
+/// What a caller has been told of a job.
+struct CallerJob {
+    EntryOutcome submitted { EntryOutcome::Unknown };
+    bool isAnswered { false };
+    JobSpec spec;
+    TimePoint cancelledAt { TimePoint::max() }; ///< When the cancellation was confirmed.
+};
+
+/// Several cores of a cell, the store, the upstreams and the advice service in
+/// one process, on virtual time and from a seed. Faults are injected by calls.
+class CellEmulator {
+public:
+    explicit CellEmulator(const EmulatorSettings&);
+
+    void runFor(Duration);
+    /// False: it didn't come true within `limit`.
+    bool runUntil(Duration limit, const std::function<bool()>& isTrue);
+    TimePoint now() const { return m_queue.now().steady; }
+
+    // Callers.
+    void submit(const std::string& id, const JobSpec&, std::size_t instance);
+    void cancel(const std::string& id, std::size_t instance);
+    /// What this instance says of the job now.
+    EntryReply lookUp(const std::string& id, std::size_t instance);
+    const std::map<std::string, CallerJob>& jobs() const { return m_jobs; }
+
+    // Faults.
+    void kill(std::size_t instance);
+    void restart(std::size_t instance);
+    void cutFromStore(std::size_t instance, bool isCut) { m_instances[instance].isCutFromStore = isCut; }
+    void setStoreDown(bool isDown) { m_storeDown = isDown; }
+    void cutUpstream(const std::string& id, bool isCut) { m_upstreams.at(id).isCut = isCut; }
+    void crashUpstream(const std::string& id);
+    void evacuate(const std::string& domain, bool isEvacuated);
+
+    // What there is to see.
+    std::optional<std::size_t> owner() const;
+    const std::vector<RunRecord>& history() const { return m_history; }
+    const CellState& core(std::size_t instance) const { return *m_instances[instance].state; }
+    FleetPolicy& policy() { return m_policy; }
+    std::vector<std::string> upstreamIds() const;
+    Duration adviceBusy() const { return m_adviceBusy; }
+
+private:
+    struct InstanceSlot {
+        std::unique_ptr<CellState> state; ///< Null: not running.
+        int lives { 0 };
+        bool isCutFromStore { false };
+        bool hasTick { false };
+    };
+    /// Of one instance to one upstream.
+    using Connection = std::pair<std::size_t, std::string>;
+    struct UpstreamSlot {
+        DirectoryEntry entry;
+        std::unique_ptr<EmulatedUpstream> life;
+        bool isCut { false };
+        bool isListed { true };
+    };
+    /// Of one instance's life: answers to an earlier one are lost.
+    struct Caller {
+        std::size_t instance { 0 };
+        int life { 0 };
+    };
+
+    void boot(std::size_t instance);
+    void deliver(const Caller&, Duration delay, CellEvent);
+    void take(const Caller&, const CellEvent&);
+    void tickInstance(std::size_t instance, int life);
+    void dispatch(const Caller&, CellActions);
+    Duration latency(std::int64_t leastMs, std::int64_t mostMs);
+    bool chance(double share);
+    bool isStoreAway(std::size_t instance) const { return m_storeDown || m_instances[instance].isCutFromStore; }
+    void failStoreCall(const Caller&, Ticket, StoreStatus);
+
+    void perform(const Caller&, const EntryReply&);
+    void perform(const Caller&, const StoreRead&);
+    void perform(const Caller&, const StoreList&);
+    void perform(const Caller&, const StoreAwait&);
+    void perform(const Caller&, const StoreChange&);
+    void perform(const Caller&, const LeaseGrant&);
+    void perform(const Caller&, const LeaseRenew&);
+    void perform(const Caller&, const LeaseEnd&);
+    void perform(const Caller&, const ReadDeclarations&);
+    void perform(const Caller&, const ReadDirectory&);
+    void perform(const Caller&, const UpstreamLook&);
+    void perform(const Caller&, const RunStart&);
+    void perform(const Caller&, const RunStop&);
+    void perform(const Caller&, const RunPace&);
+    void perform(const Caller&, const AskAdvice&);
+    void perform(const Caller&, const SendPeerFrame&);
+    void perform(const Caller&, const LogLine&);
+    void perform(const Caller&, const Finished&);
+
+    StoreReply readStore(const std::string& prefix, bool isSingle);
+    void awaitStore(const Caller&, const StoreAwait&, TimePoint deadline);
+    void awaitEnd(const Caller&, const UpstreamLook&, std::int64_t bornMs, TimePoint deadline);
+    template <typename Order>
+    void carryOut(const Caller&, const Order&);
+
+    EmulatorSettings m_settings;
+    EventQueue m_queue;
+    std::mt19937_64 m_random;
+    crocuslever::testing::StoreModel m_store;
+    bool m_storeDown { false };
+    FleetPolicy m_policy;
+    std::set<std::string> m_evacuated;
+    std::vector<InstanceSlot> m_instances;
+    std::map<std::string, UpstreamSlot> m_upstreams;
+    std::map<Connection, std::int64_t> m_connectedLives; ///< Which life each instance's connection for looks leads to.
+    std::vector<RunRecord> m_history;
+    std::map<std::string, int> m_failures;
+    std::map<std::string, CallerJob> m_jobs;
+    std::map<std::pair<std::size_t, CallId>, std::function<void(const EntryReply&)>> m_calls;
+    CallId m_nextCall { 1 };
+    std::map<std::size_t, TimePoint> m_adviceFree; ///< By instance: its questions are served in turn.
+    Duration m_adviceBusy { 0 };
+};
+
+/// The rules that an emulated day has broken, each with the runs that show it; empty: none.
+std::vector<std::string> findBrokenRules(const CellEmulator&, const Resources& capacity);
+
+} // namespace crocuslever::cell::testing
--- /dev/null
+++ b/tests/emulator/RuleChecker.cpp
@@ -0,0 +1,112 @@
+// Judges what the emulated upstreams have seen, and what callers were told.
+
+#include <algorithm>
+
+#include "src/cell/Upstreams.h"
+#include "tests/emulator/CellEmulator.h"
+
+namespace crocuslever::cell::testing {
+
+/// After a confirmed cancellation no task may start later than this.
+static constexpr Duration kCancelBound = std::chrono::milliseconds(3000);
+
+static std::string describe(const RunRecord& run)
+{
+    std::string text = run.task + " run " + std::to_string(run.run) + " on " + run.upstream + " from " + std::to_string(toMilliseconds(run.from.time_since_epoch()));
+    if (run.to != TimePoint::max())
+        text += " to " + std::to_string(toMilliseconds(run.to.time_since_epoch()));
+    if (run.how)
+        text += std::string(" ") + toString(*run.how) + (run.acknowledged ? ", acknowledged" : "");
+    return text;
+}
+
+static void checkOverlap(const std::vector<const RunRecord*>& runs, std::vector<std::string>& broken)
+{
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        for (std::size_t j = i + 1; j < runs.size(); ++j) {
+            bool overlaps = runs[j]->from < runs[i]->to;
+            bool isAgain = runs[i]->how == RunEnd::Done && runs[i]->acknowledged;
+            if (overlaps || isAgain)
+                broken.push_back("TWICE: " + describe(*runs[i]) + " and " + describe(*runs[j]));
+        }
+    }
+}
+
+static void checkAttempts(const std::vector<const RunRecord*>& runs, int attempts, std::vector<std::string>& broken)
+{
+    int failed = 0;
+    for (const RunRecord* run : runs) {
+        if (failed >= attempts)
+            broken.push_back("BUDGET: " + describe(*run) + " after " + std::to_string(failed) + " failed runs");
+        failed += run->how == RunEnd::Failed;
+    }
+}
+
+static void checkCancel(const std::vector<const RunRecord*>& runs, const CallerJob& job, std::vector<std::string>& broken)
+{
+    for (const RunRecord* run : runs) {
+        if (job.cancelledAt != TimePoint::max() && run->from > job.cancelledAt + kCancelBound)
+            broken.push_back("UNASKED: " + describe(*run) + " after its job was cancelled");
+    }
+}
+
+static Resources sizeOf(const CellEmulator& emulator, const std::string& task)
+{
+    std::optional<TaskKey> key = parseTaskKey(task);
+    return amountOf(emulator.jobs().at(key->job).spec.steps[key->step]);
+}
+
+static void checkRoom(const CellEmulator& emulator, const Resources& capacity, std::vector<std::string>& broken)
+{
+    for (const RunRecord& start : emulator.history()) {
+        Resources used;
+        for (const RunRecord& other : emulator.history()) {
+            if (other.upstream == start.upstream && other.from <= start.from && other.to > start.from)
+                used = used + sizeOf(emulator, other.task);
+        }
+        if (!used.fitsIn(capacity))
+            broken.push_back("LIMIT: " + describe(start));
+    }
+}
+
+static void checkOrder(const CellEmulator& emulator, const RunRecord& start, std::vector<std::string>& broken)
+{
+    std::optional<TaskKey> key = parseTaskKey(start.task);
+    const StepSpec& step = emulator.jobs().at(key->job).spec.steps[key->step];
+    for (int earlier : step.after) {
+        int count = emulator.jobs().at(key->job).spec.steps[earlier].count;
+        std::set<std::string> done;
+        for (const RunRecord& run : emulator.history()) {
+            std::optional<TaskKey> other = parseTaskKey(run.task);
+            bool isOfStep = other->job == key->job && other->occurrence == key->occurrence && other->step == earlier;
+            if (isOfStep && run.how == RunEnd::Done && run.to <= start.from)
+                done.insert(run.task);
+        }
+        if (static_cast<int>(done.size()) < count)
+            broken.push_back("ORDER: " + describe(start) + " before step " + std::to_string(earlier) + " was done");
+    }
+}
+
+std::vector<std::string> findBrokenRules(const CellEmulator& emulator, const Resources& capacity)
+{
+    std::vector<std::string> broken;
+    std::map<std::string, std::vector<const RunRecord*>> byTask;
+    for (const RunRecord& run : emulator.history())
+        byTask[run.task].push_back(&run);
+    for (auto& [task, runs] : byTask) {
+        auto job = emulator.jobs().find(parseTaskKey(task)->job);
+        if (job == emulator.jobs().end()) {
+            broken.push_back("UNASKED: " + describe(*runs.front()) + " of no job");
+            continue;
+        }
+        std::sort(runs.begin(), runs.end(), [](const RunRecord* a, const RunRecord* b) { return a->from < b->from; });
+        checkOverlap(runs, broken);
+        checkAttempts(runs, emulator.core(0).policy ? emulator.core(0).policy->routes.front().attempts : 1, broken);
+        checkCancel(runs, job->second, broken);
+        checkOrder(emulator, *runs.front(), broken);
+    }
+    checkRoom(emulator, capacity, broken);
+    return broken;
+}
+
+} // namespace crocuslever::cell::testing
