Replace an owner whose process was restarted at once

Ruled out: reading the records (145 ms). Conclusion: the instance's own record tells that the process is another one.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -168,6 +168,8 @@
     std::string ownerInstance;
     std::string ownerAddress; ///< Empty: nobody owns the cell.
     std::int64_t ownerToken { 0 };
+    StoreRevision ownerRevision { 0 }; ///< Of the owner's record; 0: there is none.
+    bool isOwnerRestarted { false }; ///< The owner's process is gone, though its lease goes on.
     StoreRevision epochRevision { 0 };
     std::int64_t epoch { 0 };
     TimePoint ownerSilentUntil; ///< The owner didn't answer; not asked before.
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -105,6 +105,8 @@
             membership.epochRevision = entry.modRevision;
         } else if (entry.key == kOwnerKey) {
             owner = decodeOwner(entry.value);
+            if (owner)
+                owner->revision = entry.modRevision;
         } else {
             takeInstance(state, entry, now.steady);
         }
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -58,8 +58,11 @@
     beginRecovery(state, now, actions);
 }
 
+/// True if that process is gone: another one runs under its name.
 static bool isRestarted(const CellState& state, const std::string& instance, const std::string& incarnation)
 {
+    if (instance == state.settings.instance)
+        return incarnation != state.settings.incarnation;
     auto it = state.membership.instances.find(instance);
     return it != state.membership.instances.end() && it->second.incarnation != incarnation;
 }
@@ -95,11 +98,13 @@
     }
     membership.ownerInstance = owner.instance;
     membership.ownerAddress = owner.address;
+    membership.ownerRevision = owner.revision;
+    membership.isOwnerRestarted = !owner.instance.empty() && isRestarted(state, owner.instance, owner.incarnation);
 }
 
 static StorePut ownerPut(const CellState& state, std::int64_t token)
 {
-    OwnerRecord record { state.settings.instance, state.settings.address, state.settings.incarnation, token };
+    OwnerRecord record { state.settings.instance, state.settings.address, state.settings.incarnation, token, 0 };
     return { kOwnerKey, encodeOwner(record), state.membership.lease };
 }
 
@@ -109,7 +114,7 @@
     state.ownership.phase = OwnerPhase::Acquiring;
     std::int64_t token = membership.epoch + 1;
     StoreChange command;
-    command.conditions = { { kEpochKey, membership.epochRevision }, { kOwnerKey, 0 } };
+    command.conditions = { { kEpochKey, membership.epochRevision }, { kOwnerKey, membership.ownerRevision } };
     command.puts = { { kEpochKey, std::to_string(token), 0 }, ownerPut(state, token) };
     auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
         if (s.ownership.phase != OwnerPhase::Acquiring)
@@ -292,7 +297,7 @@
         return;
     }
     bool isListFresh = membership.listedAt != TimePoint() && now.steady - membership.listedAt < kListFreshness;
-    bool mayAcquire = ownership.phase == OwnerPhase::None && membership.registered && isListFresh && membership.ownerAddress.empty();
+    bool mayAcquire = ownership.phase == OwnerPhase::None && membership.registered && isListFresh && (membership.ownerAddress.empty() || membership.isOwnerRestarted);
     if (mayAcquire && !state.stopping && now.steady >= ownership.nextAttempt)
         acquire(state, actions);
 }
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -131,7 +131,7 @@
     wire::Owner in;
     if (!in.ParseFromString(bytes))
         return std::nullopt;
-    return OwnerRecord { in.instance(), in.address(), in.incarnation(), in.token() };
+    return OwnerRecord { in.instance(), in.address(), in.incarnation(), in.token(), 0 };
 }
 
 std::string encodeInstance(const InstanceRecord& instance)
--- a/src/cell/RecordCodec.h
+++ b/src/cell/RecordCodec.h
@@ -24,6 +24,7 @@
     std::string address;
     std::string incarnation;
     std::int64_t token { 0 };
+    StoreRevision revision { 0 }; ///< Of the record itself; not part of it.
 };
 
 std::string encodeOwner(const OwnerRecord&);
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -178,6 +178,18 @@
     checkRules();
 }
 
+// All processes are killed and come back: nobody waits for the lease of the dead.
+BOOST_FIXTURE_TEST_CASE(ARestartedOwnerIsReplacedBeforeItsLeaseEnds, Fixture)
+{
+    for (std::size_t n = 0; n < 3; ++n)
+        emulator.restart(n);
+    emulator.submit(jobId(1), makeJob(takes(100), { makeStep(1, 1000) }), 0);
+    BOOST_CHECK(emulator.runUntil(std::chrono::milliseconds(700), [&] { return emulator.owner().has_value(); }));
+    emulator.submit(jobId(2), makeJob(takes(100), { makeStep(1, 1000) }), 0);
+    BOOST_CHECK(waitFor(2, JobState::Completed, std::chrono::seconds(1), owner()));
+    checkRules();
+}
+
 BOOST_FIXTURE_TEST_CASE(RunsGoOnWhileTheStoreIsDown, Fixture)
 {
     emulator.submit(jobId(1), makeJob(takes(2000), { makeStep(4, 1000) }), other());
