Reach the store over a peer while it turns an instance away

Cause: the store served some instances and not others for 7 to 9 s; an owner among these lost the cell after its lease, and entries answered 503 or 504. Ruled out: a longer lease alone; it would hold the cell without an owner. Conclusion: calls go over a peer after two silences; a probe ends it.

--- a/src/cell/Ask.cpp
+++ b/src/cell/Ask.cpp
@@ -19,7 +19,12 @@
 
 void listKeys(CellState& state, const std::string& prefix, StoreContinuation then, CellActions& actions)
 {
-    actions.push_back(StoreList { remember(state, std::move(then)), prefix });
+    actions.push_back(StoreList { remember(state, std::move(then)), Listing::OwnKeys, prefix });
+}
+
+void list(CellState& state, Listing of, StoreContinuation then, CellActions& actions)
+{
+    actions.push_back(StoreList { remember(state, std::move(then)), of, "" });
 }
 
 void change(CellState& state, StoreChange command, StoreContinuation then, CellActions& actions)
@@ -47,6 +52,30 @@
 
 bool isStoreReachable(const CellState& state) { return state.membership.storeSilences < kSilencesUntilAway; }
 
+void continueWith(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+{
+    auto it = state.storeCalls.find(reply.ticket);
+    if (it == state.storeCalls.end())
+        return;
+    StoreContinuation then = std::move(it->second);
+    state.storeCalls.erase(it);
+    then(state, reply, now, actions);
+}
+
+void handleStoreReply(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+{
+    Membership& membership = state.membership;
+    bool isAnswer = reply.status != StoreStatus::NoAnswer && reply.status != StoreStatus::Refused;
+    if (isAnswer && !isStoreReachable(state))
+        note(actions, LogLevel::Info, "store", "", "", "the store answers again");
+    membership.storeSilences = isAnswer ? 0 : membership.storeSilences + 1;
+    if (isAnswer)
+        membership.storeAnsweredAt = now.steady;
+    else if (!isStoreReachable(state) && membership.storeSilences < 5)
+        note(actions, LogLevel::Warning, "store", "", "", "the store is out of reach: " + std::to_string(membership.storeSilences) + " calls in a row failed");
+    continueWith(state, reply, now, actions);
+}
+
 void note(CellActions& actions, LogLevel level, const std::string& step, const std::string& peer, const std::string& job, const std::string& message)
 {
     actions.push_back(LogLine { level, step, peer, job, message });
--- a/src/cell/Ask.h
+++ b/src/cell/Ask.h
@@ -9,11 +9,17 @@
 
 void readKey(CellState&, const std::string& key, StoreContinuation, CellActions&);
 void listKeys(CellState&, const std::string& prefix, StoreContinuation, CellActions&);
+void list(CellState&, Listing, StoreContinuation, CellActions&);
 void change(CellState&, StoreChange, StoreContinuation, CellActions&);
 Ticket awaitChanges(CellState&, const std::string& prefix, StoreRevision, Duration wait, StoreContinuation, CellActions&);
 void grantLease(CellState&, Duration timeToLive, StoreContinuation, CellActions&);
 void renewLease(CellState&, LeaseId, StoreContinuation, CellActions&);
 
+/// Hands a reply to whoever asked.
+void continueWith(CellState&, const StoreReply&, const Instant& now, CellActions&);
+/// The same, and judges by it whether the store can be reached.
+void handleStoreReply(CellState&, const StoreReply&, const Instant& now, CellActions&);
+
 /// True while recent calls to the store were answered.
 bool isStoreReachable(const CellState&);
 
--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -8,6 +8,7 @@
 #include "src/cell/Ownership.h"
 #include "src/cell/PeerCalls.h"
 #include "src/cell/Placement.h"
+#include "src/cell/Relay.h"
 #include "src/cell/Runs.h"
 #include "src/cell/Upstreams.h"
 
@@ -19,36 +20,19 @@
 /// An owner that stops lets orders in flight be answered and results be stored.
 static constexpr Duration kHandOverWait = std::chrono::milliseconds(300);
 
-CellState::CellState(CellSettings cellSettings)
+CellState::CellState(CellSettings cellSettings, StoreFormat storeFormat)
     : settings(std::move(cellSettings))
+    , format(std::move(storeFormat))
     , randomState(settings.seed | 1)
 {
 }
 
-static void handleStoreReply(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+static void handleDeclarations(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
 {
-    Membership& membership = state.membership;
-    bool isAnswer = reply.status != StoreStatus::NoAnswer && reply.status != StoreStatus::Refused;
-    if (isAnswer && !isStoreReachable(state))
-        note(actions, LogLevel::Info, "store", "", "", "the store answers again");
-    membership.storeSilences = isAnswer ? 0 : membership.storeSilences + 1;
-    if (isAnswer)
-        membership.storeAnsweredAt = now.steady;
-    else if (!isStoreReachable(state) && membership.storeSilences < 5)
-        note(actions, LogLevel::Warning, "store", "", "", "the store is out of reach: " + std::to_string(membership.storeSilences) + " calls in a row failed");
-    auto it = state.storeCalls.find(reply.ticket);
-    if (it == state.storeCalls.end())
-        return;
-    StoreContinuation then = std::move(it->second);
-    state.storeCalls.erase(it);
-    then(state, reply, now, actions);
-}
-
-static void handleDeclarations(CellState& state, const DeclarationsRead& read, const Instant& now, CellActions& actions)
-{
-    state.readingDeclarations = 0;
-    if (!read.ok)
+    state.isReadingDeclarations = false;
+    if (reply.status != StoreStatus::Ok)
         return;
+    Declarations read = state.format.decodeDeclarations(reply.entries);
     if (!read.problem.empty())
         note(actions, LogLevel::Error, "declarations", "", "", read.problem);
     state.policyReadAt = now.steady;
@@ -68,11 +52,11 @@
 
 static void tickDeclarations(CellState& state, const Instant& now, CellActions& actions)
 {
-    if (state.readingDeclarations != 0 || now.steady < state.nextDeclarations)
+    if (state.isReadingDeclarations || now.steady < state.nextDeclarations)
         return;
-    state.readingDeclarations = state.nextTicket++;
+    state.isReadingDeclarations = true;
     state.nextDeclarations = now.steady + kDeclarationsInterval;
-    actions.push_back(ReadDeclarations { state.readingDeclarations });
+    list(state, Listing::Declarations, handleDeclarations, actions);
 }
 
 namespace {
@@ -84,8 +68,6 @@
 
     void operator()(const EntryCall& event) { handleEntryCall(state, event, now, actions); }
     void operator()(const StoreReply& event) { handleStoreReply(state, event, now, actions); }
-    void operator()(const DeclarationsRead& event) { handleDeclarations(state, event, now, actions); }
-    void operator()(const DirectoryRead& event) { handleDirectory(state, event, now, actions); }
     void operator()(const LookResult& event) { handleLook(state, event, now, actions); }
     void operator()(const OrderResult& event) { handleOrderResult(state, event, now, actions); }
     void operator()(const AdviceResult& event) { handleAdviceResult(state, event, now, actions); }
@@ -137,6 +119,7 @@
     tickCommits(state, now, actions);
     tickEntry(state, now, actions);
     tickStop(state, now, actions);
+    tickRelay(state, now, actions);
 }
 
 bool isReady(const CellState& state, TimePoint)
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -206,6 +206,17 @@
     bool readingDirectory { false };
 };
 
+/// The way to the store over another instance, while it turns this one away.
+struct Relay {
+    bool isOn { false };
+    std::string peer; ///< Address of the instance that passes calls on.
+    std::map<std::string, TimePoint> avoidUntil; ///< Addresses of peers that didn't answer.
+    bool isProbing { false };
+    TimePoint nextProbe; ///< Of the store itself.
+    Ticket probe { 0 }; ///< Goes to the store directly.
+    std::set<Ticket> forPeers; ///< Calls that this instance passes on; they go directly, too.
+};
+
 /// Group commit of what the owner has taken in.
 struct CommitQueue {
     std::set<std::string> dirty; ///< Jobs.
@@ -251,17 +262,19 @@
 using AdviceContinuation = std::function<void(CellState&, const AdviceResult&, const Instant&, CellActions&)>;
 
 struct CellState {
-    explicit CellState(CellSettings);
+    CellState(CellSettings, StoreFormat);
 
     CellSettings settings;
+    StoreFormat format;
     TimePoint startedAt;
     Membership membership;
+    Relay relay;
     Ownership ownership;
     std::shared_ptr<const FleetPolicy> policy; ///< Null: none so far.
     TimePoint policyReadAt;
     std::set<std::string> evacuated;
     std::vector<UpkeepWave> waves;
-    Ticket readingDeclarations { 0 };
+    bool isReadingDeclarations { false };
     TimePoint nextDeclarations;
 
     JobTable jobs;
--- a/src/cell/Messages.h
+++ b/src/cell/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,10 +70,17 @@
     std::string key;
 };
 
+/// What a list is of. The operators' declarations and the directory of
+/// upstreams lie where the platform has put them.
+enum class Listing { OwnKeys,
+    Declarations,
+    Directory };
+
 /// All keys that begin with `prefix`.
 struct StoreList {
     Ticket ticket { 0 };
-    std::string prefix;
+    Listing of { Listing::OwnKeys };
+    std::string prefix; ///< Of own keys.
 };
 
 /// One wait for changes after `revision`.
@@ -115,10 +123,6 @@
 
 // The operators' declarations and the directory of upstreams.
 
-struct ReadDeclarations {
-    Ticket ticket { 0 };
-};
-
 /// A request to bring machines through their upkeep.
 struct UpkeepWave {
     std::string id;
@@ -127,19 +131,13 @@
     int mostAtOnce { 1 };
 };
 
-struct DeclarationsRead {
-    Ticket ticket { 0 };
-    bool ok { false };
+struct Declarations {
     std::shared_ptr<const FleetPolicy> policy; ///< Null: none was there, or it couldn't be read.
     std::set<std::string> evacuated; ///< Failure domains.
     std::vector<UpkeepWave> waves;
     std::string problem; ///< What couldn't be read; empty: nothing.
 };
 
-struct ReadDirectory {
-    Ticket ticket { 0 };
-};
-
 struct DirectoryEntry {
     std::string id;
     std::string service;
@@ -153,13 +151,17 @@
     std::int64_t bornMs { 0 }; ///< Names this life of it.
 };
 
-struct DirectoryRead {
-    Ticket ticket { 0 };
-    bool ok { false };
+struct Directory {
     std::vector<DirectoryEntry> entries;
     int unreadable { 0 }; ///< Entries that name no upstream.
 };
 
+/// How the platform writes what an instance reads in the store.
+struct StoreFormat {
+    std::function<Declarations(const std::vector<StoreEntry>&)> decodeDeclarations;
+    std::function<Directory(const std::vector<StoreEntry>&)> decodeDirectory;
+};
+
 // Upstreams.
 
 /// Which life of which upstream a call is for.
@@ -303,11 +305,9 @@
 struct StopRequested { };
 struct Finished { };
 
-using CellEvent = std::variant<EntryCall, StoreReply, DeclarationsRead, DirectoryRead, LookResult, OrderResult,
-    AdviceResult, PeerFrame, StopRequested>;
+using CellEvent = std::variant<EntryCall, StoreReply, LookResult, OrderResult, AdviceResult, PeerFrame, StopRequested>;
 using CellAction = std::variant<EntryReply, StoreRead, StoreList, StoreAwait, StoreChange, LeaseGrant, LeaseRenew,
-    LeaseEnd, ReadDeclarations, ReadDirectory, UpstreamLook, RunStart, RunStop, RunPace, AskAdvice, SendPeerFrame,
-    LogLine, Finished>;
+    LeaseEnd, UpstreamLook, RunStart, RunStop, RunPace, AskAdvice, SendPeerFrame, LogLine, Finished>;
 using CellActions = std::vector<CellAction>;
 
 } // namespace crocuslever::cell
--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -6,6 +6,7 @@
 #include "src/cell/Entry.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Ownership.h"
+#include "src/cell/Relay.h"
 
 namespace crocuslever::cell {
 
@@ -84,6 +85,9 @@
     case wire::PeerMessage::kAdviceQuery:
         passOnAdviceQuery(state, message, actions);
         return;
+    case wire::PeerMessage::kStoreQuery:
+        passOnStoreQuery(state, message, actions);
+        return;
     default:
         handleAnswer(state, message, now, actions);
     }
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -148,11 +148,12 @@
     }
 }
 
-void handleDirectory(CellState& state, const DirectoryRead& read, const Instant& now, CellActions& actions)
+void handleDirectory(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
 {
     state.ownership.readingDirectory = false;
-    if (!isOwner(state) || !read.ok)
+    if (!isOwner(state) || reply.status != StoreStatus::Ok)
         return;
+    Directory read = state.format.decodeDirectory(reply.entries);
     std::set<std::string> listed;
     for (const DirectoryEntry& entry : read.entries) {
         listed.insert(entry.id);
@@ -264,7 +265,7 @@
     if (!ownership.readingDirectory && now.steady >= ownership.nextDirectory) {
         ownership.readingDirectory = true;
         ownership.nextDirectory = now.steady + kDirectoryInterval;
-        actions.push_back(ReadDirectory { state.nextTicket++ });
+        list(state, Listing::Directory, handleDirectory, actions);
     }
     storeKnownUpstreams(state, actions);
     for (auto it = state.upstreams.begin(); it != state.upstreams.end();) {
--- a/src/cell/Upstreams.h
+++ b/src/cell/Upstreams.h
@@ -11,7 +11,7 @@
 /// Reads the directory, looks at each upstream, and repeats orders without an answer.
 void tickUpstreams(CellState&, const Instant& now, CellActions&);
 
-void handleDirectory(CellState&, const DirectoryRead&, const Instant& now, CellActions&);
+void handleDirectory(CellState&, const StoreReply&, const Instant& now, CellActions&);
 void handleLook(CellState&, const LookResult&, const Instant& now, CellActions&);
 
 /// Adds an upstream that a predecessor may have placed work on.
