Serve metrics on the platform; test its codecs and settings

Counters and latency histograms of the cell on the metrics address of the settings, in the text format that the product's own daemon prints. Tests for jobs, configurations, entries by other writers, lists and faulty settings.

--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -6,6 +6,7 @@
 #include "src/cell/Ask.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
+#include "src/cell/Latency.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/PeerCalls.h"
 #include "src/cell/RecordCodec.h"
@@ -26,10 +27,40 @@
 static void reply(CellState& state, CallId id, EntryReply answer, CellActions& actions)
 {
     answer.id = id;
+    state.counters.add(std::string("entry_answers_total{outcome=\"") + toString(answer.outcome) + "\"}");
     state.entries.erase(id);
     actions.push_back(std::move(answer));
 }
 
+const char* toString(EntryOutcome outcome)
+{
+    switch (outcome) {
+    case EntryOutcome::Accepted:
+        return "accepted";
+    case EntryOutcome::State:
+        return "state";
+    case EntryOutcome::Count:
+        return "count";
+    case EntryOutcome::Cancelled:
+        return "cancelled";
+    case EntryOutcome::Gone:
+        return "gone";
+    case EntryOutcome::NoRoute:
+        return "no_route";
+    case EntryOutcome::Unauthorized:
+        return "unauthorized";
+    case EntryOutcome::Malformed:
+        return "malformed";
+    case EntryOutcome::Refused:
+        return "refused";
+    case EntryOutcome::Overloaded:
+        return "overloaded";
+    case EntryOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 static EntryReply makeReply(EntryOutcome outcome, const std::string& reason = {})
 {
     EntryReply answer;
@@ -84,7 +115,7 @@
     if (stored.status == StoreStatus::Ok || stored.status == StoreStatus::Conflict) {
         bool isNew = stored.status == StoreStatus::Ok;
         note(actions, LogLevel::Info, "entry.accept", "", row->jobId, std::string(isNew ? "stored" : "was stored already") + " for route " + row->route + ", team " + row->team + ", after " + std::to_string(toMilliseconds(now.steady - row->arrivedAt)) + " ms");
-        state.counters.add("entry_accepted_total");
+        observeLatency(state.counters, "entry_accept_seconds", now.steady - row->arrivedAt);
         reply(state, id, makeReply(EntryOutcome::Accepted), actions);
         return;
     }
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -4,6 +4,7 @@
 
 #include "src/cell/Ask.h"
 #include "src/cell/Keys.h"
+#include "src/cell/Latency.h"
 #include "src/cell/RecordCodec.h"
 #include "src/cell/Runs.h"
 
@@ -146,8 +147,9 @@
     job.ended = ended;
     state.commits.dirty.insert(job.record.id);
     state.placementDue = true;
-    std::string age = std::to_string(now.wallMs - job.record.acceptedMs);
-    note(actions, LogLevel::Info, "job.end", "", job.record.id, std::string(toString(ended)) + " after " + age + " ms: " + why);
+    Duration age = fromMilliseconds(std::max<std::int64_t>(0, now.wallMs - job.record.acceptedMs));
+    observeLatency(state.counters, std::string("job_seconds_") + toString(ended), age);
+    note(actions, LogLevel::Info, "job.end", "", job.record.id, std::string(toString(ended)) + " after " + std::to_string(toMilliseconds(age)) + " ms: " + why);
     stopRunsOf(state, job.record.id, now, actions);
 }
 
--- a/src/cell/Messages.h
+++ b/src/cell/Messages.h
@@ -45,6 +45,8 @@
     Unknown, ///< The store may have taken it; the caller has to ask again.
 };
 
+const char* toString(EntryOutcome);
+
 struct EntryReply {
     CallId id { 0 };
     EntryOutcome outcome { EntryOutcome::Unknown };
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -4,6 +4,7 @@
 
 #include "src/cell/Ask.h"
 #include "src/cell/Jobs.h"
+#include "src/cell/Latency.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/Upstreams.h"
 
@@ -232,6 +233,8 @@
         run.confirmedAt = now.steady;
         run.payload.clear();
         JobRow* job = findJob(state, run.task.job);
+        if (job && !job->begun)
+            observeLatency(state.counters, "job_first_start_seconds", fromMilliseconds(std::max<std::int64_t>(0, now.wallMs - job->record.acceptedMs)));
         if (job)
             job->begun = true;
         if (run.stopping)
--- /dev/null
+++ b/tests/PlatformDecodeTest.cpp
@@ -0,0 +1,87 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/Decode.h"
+#include "platform/PlatformSettings.h"
+
+namespace crocuslever::platform {
+
+BOOST_AUTO_TEST_SUITE(PlatformDecodeTest)
+
+BOOST_AUTO_TEST_CASE(ReadsAJob)
+{
+    Result<cell::JobSpec> spec = decodeJobSpec(R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900,"affinity":"r1-3"},)"
+                                               R"({"count":20,"cpu":2000,"mem-mb":1024,"estimate-ms":7000,"after":[0],"supports-checkpoint":true,"gang":true}],"max-runs":2,"interval-ms":5})");
+    BOOST_REQUIRE(spec.has_value());
+    BOOST_CHECK_EQUAL(spec.value().payload, "text");
+    BOOST_REQUIRE_EQUAL(spec.value().steps.size(), 2U);
+    BOOST_CHECK_EQUAL(spec.value().steps[0].dataRack, "r1-3");
+    BOOST_CHECK(!spec.value().steps[0].gang);
+    BOOST_CHECK(spec.value().steps[1].gang && spec.value().steps[1].checkpoints);
+    BOOST_CHECK(spec.value().steps[1].after == std::vector<int> { 0 });
+    BOOST_CHECK(spec.value().steps[1].estimate == std::chrono::seconds(7));
+    BOOST_CHECK_EQUAL(spec.value().occurrences, 2);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWhatIsNoJob)
+{
+    for (const char* body : { "", "[]", "nonsense", "{}", R"({"steps":[]})", R"({"steps":[{"cpu":1}]})", R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":1e300}]})", R"({"steps":7})" })
+        BOOST_CHECK_MESSAGE(decodeJobSpec(body).has_error(), body);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAConfiguration)
+{
+    Result<cell::FleetPolicy> policy = decodePolicy(R"({"version":7,"routes":[{"name":"r","hostname":"h","prefix":"/p/","target-duration-ms":1000,"priority":1,"service":"s","attempts":4,"stretch":2.2,"advice":{"decide-ms":500.0,"period-ms":7.1,"valid-ms":2000},"public":false}],)"
+                                                    R"("services":[{"name":"s","enforces-capacity":true}],"tenants":[{"name":"t","api-keys":["k1","k2"],"weight":32,"cap":{"cpu":10,"mem-mb":20,"gpu":0}}]})");
+    BOOST_REQUIRE(policy.has_value());
+    BOOST_CHECK_EQUAL(policy.value().version, 7);
+    const cell::Route* route = findRoute(policy.value(), "h", "/p/x");
+    BOOST_REQUIRE(route);
+    BOOST_CHECK(route->advice->perUpstream == Duration(7100));
+    BOOST_CHECK(findRoute(policy.value(), "h", "/q") == nullptr);
+    BOOST_REQUIRE(findTeamOfKey(policy.value(), "k2"));
+    BOOST_CHECK_EQUAL(findTeamOfKey(policy.value(), "k2")->limit.milliCpu, 10);
+    BOOST_CHECK(findTeamOfKey(policy.value(), "k3") == nullptr);
+    BOOST_CHECK(decodePolicy("{\"routes\":[]}").has_error());
+}
+
+BOOST_AUTO_TEST_CASE(EntriesOfOtherWritersNameNoUpstream)
+{
+    std::string good = R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":8,"state":"ready","cold-left-ms":0,"capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r1-3"],"clock-ms":1,"seq":4,"born":99})";
+    std::optional<cell::DirectoryEntry> entry = decodeDirectoryEntry("i-1", good);
+    BOOST_REQUIRE(entry.has_value());
+    BOOST_CHECK_EQUAL(entry->rack, "r1-3");
+    BOOST_CHECK_EQUAL(entry->bornMs, 99);
+    BOOST_CHECK_EQUAL(entry->capacity.milliCpu, 16000);
+    for (const char* text : { "", "\xff\xfe", "[]", R"({"service":"s"})", R"({"service":"s","address":"a","zone":"z","state":"melting","capacity":{"cpu":1},"seq":1})", R"({"service":4,"address":"a","zone":"z","state":"ready","capacity":{"cpu":1},"seq":1})", R"({"service":"s","address":"a","zone":"z","state":"ready","capacity":7,"seq":1})" })
+        BOOST_CHECK_MESSAGE(!decodeDirectoryEntry("i-1", text), text);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsListsOfRuns)
+{
+    cell::LookResult result;
+    BOOST_REQUIRE(decodeLists(R"({"clock-ms":482113,"born":5,"num-running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,7]],"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})", result));
+    BOOST_CHECK_EQUAL(result.clockMs, 482113);
+    BOOST_REQUIRE_EQUAL(result.running.size(), 1U);
+    BOOST_CHECK_EQUAL(result.running[0].percent, 41);
+    BOOST_CHECK_EQUAL(result.running[0].gauge, 7);
+    BOOST_REQUIRE_EQUAL(result.ended.size(), 1U);
+    BOOST_CHECK(result.ended[0].how == cell::RunEnd::Done);
+    for (const char* body : { "", "{}", R"({"clock-ms":1,"ended":[[1,"t",1,"melted",""]]})", R"({"clock-ms":1,"num-running":[7]})" })
+        BOOST_CHECK_MESSAGE(!decodeLists(body, result), body);
+}
+
+BOOST_AUTO_TEST_CASE(NamesEveryFaultOfTheSettings)
+{
+    std::string good = "instance: a\nfailure_domain: d\nlisten:\n  callers: '1.2.3.4:1'\n  readiness: '1.2.3.4:2'\npeers:\n  listen: '1.2.3.4:3'\n  seeds: []\nstore: '1.2.3.4:4'\nstop:\n  grace: 6s\n";
+    Result<PlatformSettings> settings = parsePlatformSettings(good, "file");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_CHECK(settings.value().cell.stopGrace == std::chrono::milliseconds(4800));
+    Result<PlatformSettings> bad = parsePlatformSettings("instance: a\nstop:\n  grace: often\nstorr: x\n", "file");
+    BOOST_REQUIRE(bad.has_error());
+    for (const char* key : { "failure_domain", "grace", "storr", "store" })
+        BOOST_CHECK_MESSAGE(bad.error().message.find(key) != std::string::npos, key);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace crocuslever::platform
