--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -216,7 +216,8 @@
     // Another life may answer after a silence; its ends count from 1 again.
     look.acknowledged = upstream.silences > 0 ? 0 : upstream.acknowledged;
     look.onSameConnection = look.acknowledged > 0;
-    look.leaseUntilMs = leaseUntil(state, upstream, now.steady);
+    // A lease sent into a silence may arrive; what runs there could then never be given up.
+    look.leaseUntilMs = upstream.silences > 0 ? 0 : leaseUntil(state, upstream, now.steady);
     bool isQuick = !upstream.fenced || upstream.silences > 0 || hasUnstoredEnds;
     look.wait = isQuick ? Duration(0) : kLookWait;
     extendLease(upstream, look.leaseUntilMs);
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -247,6 +247,16 @@
     checkRules();
 }
 
+// It is gone for good: work must not wait for it to come back.
+BOOST_FIXTURE_TEST_CASE(WorkOnAnUpstreamGoneForGoodStartsElsewhere, Fixture)
+{
+    emulator.submit(jobId(1), makeJob(takes(3000), { makeStep(12, 1000) }), other());
+    emulator.runFor(std::chrono::seconds(1));
+    emulator.cutUpstream(emulator.history().front().upstream, true);
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::seconds(12), owner()));
+    checkRules();
+}
+
 BOOST_FIXTURE_TEST_CASE(ACrashedUpstreamsWorkStartsElsewhere, Fixture)
 {
     emulator.submit(jobId(1), makeJob(takes(2000), { makeStep(12, 1000) }), other());
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -35,6 +35,15 @@
     }
     for (std::size_t n = 0; n < m_instances.size(); ++n)
         boot(n);
+    advanceUpstreams();
+}
+
+/// Leases lapse on an upstream whether or not anybody looks at it.
+void CellEmulator::advanceUpstreams()
+{
+    for (auto& [id, slot] : m_upstreams)
+        slot.life->advance(now());
+    m_queue.after(kTickInterval, [this] { advanceUpstreams(); });
 }
 
 Duration CellEmulator::latency(std::int64_t leastMs, std::int64_t mostMs)
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -91,6 +91,7 @@
     Declarations declarations() const;
     Directory directory() const;
     void boot(std::size_t instance);
+    void advanceUpstreams();
     void deliver(const Caller&, Duration delay, CellEvent);
     void take(const Caller&, const CellEvent&);
     void tickInstance(std::size_t instance, int life);
