--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -186,7 +186,7 @@
 }
 
 /// A job moves from its own record to that of ended jobs, so the two are read in this order.
-static void readJob(CellState& state, EntryRow& row, StoreContinuation found, CellActions& actions)
+static void readJob(CellState& state, EntryRow& row, const StoreContinuation& found, CellActions& actions)
 {
     ++row.tries;
     CallId id = row.call.id;
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -221,7 +221,8 @@
     std::map<std::string, int> fits;
     for (const Place& it : places)
         fits[it.upstream->entry.rack] += it.fits;
-    for (const auto& [rack, n] : fits) {
+    for (const auto& [name, n] : fits) {
+        const std::string& rack = name;
         if (n < count)
             continue;
         std::vector<Place> chosen;
--- a/src/cell/Relay.cpp
+++ b/src/cell/Relay.cpp
@@ -111,7 +111,7 @@
 
 void passOnStoreQuery(CellState& state, const wire::PeerMessage& query, CellActions& actions)
 {
-    std::string peer = query.sender();
+    const std::string& peer = query.sender();
     std::uint64_t call = query.call();
     auto answer = [peer, call](CellState& s, const StoreReply& reply, const Instant&, CellActions& out) {
         wire::PeerMessage message;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -43,8 +43,7 @@
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
 public:
     Impl(asio::io_context& context, HttpServerSettings settings, RequestHandler handler)
-        : m_context(context)
-        , m_acceptor(context)
+        : m_acceptor(context)
         , m_pause(context)
         , m_settings(std::move(settings))
         , m_handler(std::move(handler))
@@ -222,7 +221,6 @@
         m_sessions.erase(session);
     }
 
-    asio::io_context& m_context;
     tcp::acceptor m_acceptor;
     asio::steady_timer m_pause;
     HttpServerSettings m_settings;
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -127,7 +127,7 @@
 
 // Instances.
 
-void CellEmulator::deliver(const Caller& caller, Duration delay, CellEvent event)
+void CellEmulator::deliver(const Caller& caller, Duration delay, const CellEvent& event)
 {
     m_queue.after(delay, [this, caller, event] { take(caller, event); });
 }
@@ -140,7 +140,7 @@
     CellActions actions;
     handleEvent(*slot.state, event, m_queue.now(), actions);
     tick(*slot.state, m_queue.now(), actions);
-    dispatch(caller, std::move(actions));
+    dispatch(caller, actions);
 }
 
 void CellEmulator::tickInstance(std::size_t n, int life)
@@ -150,11 +150,11 @@
         return;
     CellActions actions;
     tick(*slot.state, m_queue.now(), actions);
-    dispatch({ n, life }, std::move(actions));
+    dispatch({ n, life }, actions);
     m_queue.after(kTickInterval, [this, n, life] { tickInstance(n, life); });
 }
 
-void CellEmulator::dispatch(const Caller& caller, CellActions actions)
+void CellEmulator::dispatch(const Caller& caller, const CellActions& actions)
 {
     for (const CellAction& action : actions)
         std::visit([this, &caller](const auto& it) { perform(caller, it); }, action);
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -92,10 +92,10 @@
     Directory directory() const;
     void boot(std::size_t instance);
     void advanceUpstreams();
-    void deliver(const Caller&, Duration delay, CellEvent);
+    void deliver(const Caller&, Duration delay, const CellEvent&);
     void take(const Caller&, const CellEvent&);
     void tickInstance(std::size_t instance, int life);
-    void dispatch(const Caller&, CellActions);
+    void dispatch(const Caller&, const CellActions&);
     Duration latency(std::int64_t leastMs, std::int64_t mostMs);
     bool chance(double share);
     bool isStoreAway(std::size_t instance) const { return m_storeDown || m_instances[instance].isCutFromStore; }
