--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -285,7 +285,7 @@
         // Ends just before it keep the group commit busy.
         for (int n = 2; n <= 8; ++n)
             emulator.submit(jobId(n), makeJob(takes(300 - 4 * n), { makeStep(1, 100) }), fixture.other());
-        auto isOver = [&emulator](const RunRecord& run) { return parseTaskKey(run.task)->job == jobId(1) && run.how.has_value(); };
+        auto isOver = [](const RunRecord& run) { return parseTaskKey(run.task)->job == jobId(1) && run.how.has_value(); };
         BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(2), [&] { return std::any_of(emulator.history().begin(), emulator.history().end(), isOver); }));
         emulator.runFor(fromMilliseconds(ms));
         std::size_t former = fixture.owner();
