Keep an owner's work in proportion to what changes

Cause: each tick looked through all runs, all upstreams and all finished jobs, each placement pass through all jobs, and the sort of places copied two strings a comparison. Group commits took ids in their order, so a burst could hold back the end of a job with a large id. Now: orders to repeat, jobs with waiting tasks and runs by job are kept apart; commits go first come first served and leave out needless deletions.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -7,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "crocuslever/Core.h"
@@ -90,8 +92,10 @@
     JobRecord record;
     StoreRevision revision { 0 }; ///< Of its record in the store.
     std::vector<OccurrenceRow> occurrences;
+    int waiting { 0 }; ///< Tasks of all steps.
     Duration estimatedChain { 0 }; ///< Longest chain of steps, by the submitter's estimates.
     bool begun { false }; ///< A task has started at some time.
+    bool mayHaveProgress { false }; ///< In the store.
     std::optional<JobState> ended; ///< Final, and being stored.
 };
 
@@ -113,7 +117,6 @@
     TimePoint confirmedAt;
     bool stopConfirmed { false };
     TimePoint stopConfirmedAt;
-    TimePoint nextOrder; ///< When to send the order again, if none is in flight.
     int orders { 0 };
     TimePoint startedAt;
     std::int64_t startedMs { 0 }; ///< Unix time of the order; 0: it was found running.
@@ -145,6 +148,9 @@
     TimePoint unwellUntil; ///< Gets no new work before.
 };
 
+/// The upstream and the task of a run.
+using RunName = std::pair<std::string, std::string>;
+
 using UpstreamTable = std::map<std::string, UpstreamRow>;
 
 /// This instance's lease in the store and its place among the instances.
@@ -203,6 +209,7 @@
     Ticket watch { 0 };
     TimePoint nextWatch;
     TimePoint nextDirectory;
+    TimePoint nextUpstreamScan;
     bool readingDirectory { false };
 };
 
@@ -219,9 +226,11 @@
 
 /// Group commit of what the owner has taken in.
 struct CommitQueue {
-    std::set<std::string> dirty; ///< Jobs.
+    std::deque<std::string> queue; ///< Jobs with something to store, in the order in which it came.
+    std::unordered_set<std::string> dirty; ///< The same.
     bool inFlight { false };
     TimePoint nextCommit;
+    TimePoint nextIdlePass;
     StoreRevision chain { 0 }; ///< Revision of the commit key after the latest commit.
 };
 
@@ -279,10 +288,14 @@
     TimePoint nextDeclarations;
 
     JobTable jobs;
+    std::unordered_set<std::string> waitingJobs; ///< Those with a waiting task, whether or not its turn has come.
     std::unordered_map<std::string, FinishedJob> finished;
+    TimePoint nextForgetting; ///< Of finished jobs.
     std::set<std::string> cancels; ///< Cancelled jobs that still run, or whose record hasn't been seen.
     UpstreamTable upstreams;
     std::map<std::string, Resources> teamUse;
+    std::unordered_map<std::string, int> runsOfJob; ///< How many runs take room for it.
+    std::multimap<TimePoint, RunName> orderRetries; ///< Orders to be sent again, unless that has become needless.
     CommitQueue commits;
     bool placementDue { false };
     TimePoint nextPlacement;
@@ -292,7 +305,7 @@
     std::map<std::uint64_t, PeerCall> peerCalls;
     std::map<Ticket, StoreContinuation> storeCalls;
     std::map<Ticket, AdviceContinuation> adviceCalls;
-    std::map<Ticket, std::pair<std::string, std::string>> orders; ///< Upstream and task of an order in flight.
+    std::map<Ticket, RunName> orders; ///< In flight.
     std::map<Ticket, std::string> looks; ///< Upstream of a look in flight.
     std::uint64_t nextTicket { 1 };
     std::uint64_t randomState { 1 };
--- a/src/cell/Commits.cpp
+++ b/src/cell/Commits.cpp
@@ -13,7 +13,9 @@
 static constexpr Duration kCommitInterval = std::chrono::milliseconds(20);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(120);
 static constexpr std::size_t kMostEntries = 32; ///< Of one change of the store, its conditions counted.
-static constexpr std::size_t kEntriesOfEndedJob = 4;
+static constexpr std::size_t kEntriesOfEndedJob = 4; ///< At most.
+static constexpr Duration kIdleInterval = std::chrono::milliseconds(5); ///< Between passes over all upstreams.
+static constexpr Duration kForgetInterval = std::chrono::seconds(1);
 
 namespace {
 
@@ -25,43 +27,56 @@
 
 } // namespace
 
+void markDirty(CellState& state, const std::string& job)
+{
+    if (state.commits.dirty.insert(job).second)
+        state.commits.queue.push_back(job);
+}
+
 bool isAllCommitted(const CellState& state)
 {
     return state.commits.dirty.empty() && !state.commits.inFlight;
 }
 
-static void addJob(const JobRow& job, StoreChange& command)
+/// Adds what is to be stored of the job. The number of entries that it takes.
+static std::size_t addJob(JobRow& job, StoreChange& command)
 {
     const std::string& id = job.record.id;
     if (!job.ended) {
+        job.mayHaveProgress = true;
         command.puts.push_back({ progressKey(id), encodeProgress(progressOf(job)), 0 });
-        return;
+        return 1;
     }
     command.puts.push_back({ endedKey(id), toString(*job.ended), 0 });
     command.deletes.push_back(jobKey(id));
+    // A cancellation may be there that we haven't heard of.
     command.deletes.push_back(cancelKey(id));
-    command.deletes.push_back(progressKey(id));
+    if (job.mayHaveProgress)
+        command.deletes.push_back(progressKey(id));
+    return job.mayHaveProgress ? kEntriesOfEndedJob : kEntriesOfEndedJob - 1;
 }
 
 static Batch fillBatch(CellState& state, StoreChange& command)
 {
     Batch batch;
+    CommitQueue& commits = state.commits;
     std::size_t entries = command.conditions.size() + command.puts.size();
-    std::set<std::string>& dirty = state.commits.dirty;
-    while (!dirty.empty() && entries + kEntriesOfEndedJob <= kMostEntries) {
-        std::string id = *dirty.begin();
-        dirty.erase(dirty.begin());
+    while (!commits.queue.empty() && entries + kEntriesOfEndedJob <= kMostEntries) {
+        std::string id = std::move(commits.queue.front());
+        commits.queue.pop_front();
+        commits.dirty.erase(id);
         JobRow* job = findJob(state, id);
         if (!job)
             continue;
-        addJob(*job, command);
-        entries += job->ended ? kEntriesOfEndedJob : 1;
+        entries += addJob(*job, command);
         batch.jobs.push_back(id);
     }
-    if (!dirty.empty())
+    if (!commits.queue.empty())
         return batch;
-    for (const auto& [id, upstream] : state.upstreams)
-        batch.ends[id] = { upstream.entry.bornMs, upstream.lastEnd };
+    for (const auto& [id, upstream] : state.upstreams) {
+        if (upstream.acknowledged < upstream.lastEnd)
+            batch.ends[id] = { upstream.entry.bornMs, upstream.lastEnd };
+    }
     return batch;
 }
 
@@ -86,7 +101,7 @@
             continue;
         state.finished[id] = { *job->ended, now.steady + state.settings.keepFinished };
         state.cancels.erase(id);
-        state.jobs.erase(id);
+        removeJob(state, id);
     }
 }
 
@@ -121,7 +136,8 @@
         return;
     }
     // The same records again, with what has changed since: they only ever gain.
-    state.commits.dirty.insert(batch.jobs.begin(), batch.jobs.end());
+    for (const std::string& id : batch.jobs)
+        markDirty(state, id);
     state.commits.nextCommit = now.steady + kRetryInterval;
     if (reply.status == StoreStatus::Conflict)
         resolveConflict(state, reply, now, actions);
@@ -136,14 +152,14 @@
     // late, after its successor, must not bring old records back.
     command.conditions = { { kEpochKey, state.ownership.guard }, { kCommitKey, state.commits.chain } };
     command.puts.push_back({ kCommitKey, std::to_string(state.ownership.token), 0 });
-    Batch batch = fillBatch(state, command);
-    if (batch.jobs.empty())
+    std::shared_ptr<const Batch> batch = std::make_shared<Batch>(fillBatch(state, command));
+    if (batch->jobs.empty())
         return;
     state.commits.inFlight = true;
     std::int64_t token = state.ownership.token;
     auto then = [batch, token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
         if (isOwner(s) && s.ownership.token == token)
-            handleCommit(s, batch, reply, at, out);
+            handleCommit(s, *batch, reply, at, out);
     };
     change(state, std::move(command), then, actions);
 }
@@ -151,6 +167,7 @@
 /// Ends that change no job need no commit before they are acknowledged.
 static void acknowledgeIdleEnds(CellState& state, const Instant& now)
 {
+    state.commits.nextIdlePass = now.steady + kIdleInterval;
     for (auto& [id, upstream] : state.upstreams) {
         if (upstream.acknowledged == upstream.lastEnd)
             continue;
@@ -161,6 +178,9 @@
 
 static void forgetFinished(CellState& state, TimePoint now)
 {
+    if (now < state.nextForgetting)
+        return;
+    state.nextForgetting = now + kForgetInterval;
     for (auto it = state.finished.begin(); it != state.finished.end();)
         it = now > it->second.forgetAt ? state.finished.erase(it) : std::next(it);
 }
@@ -172,9 +192,9 @@
     forgetFinished(state, now.steady);
     if (state.commits.inFlight)
         return;
-    if (state.commits.dirty.empty())
+    if (state.commits.dirty.empty() && now.steady >= state.commits.nextIdlePass)
         acknowledgeIdleEnds(state, now);
-    else if (now.steady >= state.commits.nextCommit)
+    if (!state.commits.dirty.empty() && now.steady >= state.commits.nextCommit)
         commit(state, actions);
 }
 
--- a/src/cell/Commits.h
+++ b/src/cell/Commits.h
@@ -8,6 +8,9 @@
 /// ends once they are stored.
 void tickCommits(CellState&, const Instant& now, CellActions&);
 
+/// The job has something to store.
+void markDirty(CellState&, const std::string& job);
+
 /// True if nothing waits to be stored.
 bool isAllCommitted(const CellState&);
 
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/cell/Ask.h"
+#include "src/cell/Commits.h"
 #include "src/cell/Keys.h"
 #include "src/cell/Latency.h"
 #include "src/cell/RecordCodec.h"
@@ -92,13 +93,31 @@
 
 const StepSpec& specOf(const JobRow& job, const TaskKey& key) { return job.record.spec.steps[key.step]; }
 
+/// Keeps the set of jobs that placement looks through.
+static void countWaitingTasks(CellState& state, JobRow& job, int change)
+{
+    job.waiting += change;
+    if (job.waiting > 0)
+        state.waitingJobs.insert(job.record.id);
+    else
+        state.waitingJobs.erase(job.record.id);
+}
+
+void removeJob(CellState& state, const std::string& id)
+{
+    state.waitingJobs.erase(id);
+    state.jobs.erase(id);
+}
+
 void setPhase(CellState& state, const TaskKey& key, TaskPhase phase, TimePoint now)
 {
     StepRow* step = findStep(state, key);
     TaskRow& task = step->tasks[key.index];
     if (task.phase == phase)
         return;
-    step->waiting += (phase == TaskPhase::Waiting) - (task.phase == TaskPhase::Waiting);
+    int waiting = (phase == TaskPhase::Waiting) - (task.phase == TaskPhase::Waiting);
+    step->waiting += waiting;
+    countWaitingTasks(state, *findJob(state, key.job), waiting);
     step->done += (phase == TaskPhase::Done) - (task.phase == TaskPhase::Done);
     task.phase = phase;
     task.since = now;
@@ -142,10 +161,20 @@
     return row;
 }
 
+static int countTasks(const JobRow& job)
+{
+    int count = 0;
+    for (const OccurrenceRow& occurrence : job.occurrences) {
+        for (const StepRow& step : occurrence.steps)
+            count += static_cast<int>(step.tasks.size());
+    }
+    return count;
+}
+
 static void endJob(CellState& state, JobRow& job, JobState ended, const std::string& why, const Instant& now, CellActions& actions)
 {
     job.ended = ended;
-    state.commits.dirty.insert(job.record.id);
+    markDirty(state, job.record.id);
     state.placementDue = true;
     Duration age = fromMilliseconds(std::max<std::int64_t>(0, now.wallMs - job.record.acceptedMs));
     observeLatency(state.counters, std::string("job_seconds_") + toString(ended), age);
@@ -164,6 +193,7 @@
         return;
     }
     JobRow& row = state.jobs.emplace(id, makeRow(*record, entry.modRevision, now.steady)).first->second;
+    countWaitingTasks(state, row, countTasks(row));
     state.placementDue = true;
     if (state.cancels.count(id) > 0)
         endJob(state, row, JobState::Cancelled, "cancelled by its team", now, actions);
@@ -218,6 +248,7 @@
     std::optional<std::vector<TaskProgress>> tasks = decodeProgress(entry.value);
     if (!job || !tasks)
         return;
+    job->mayHaveProgress = true;
     for (const TaskProgress& progress : *tasks) {
         TaskKey key { id, progress.occurrence, progress.step, progress.index };
         TaskRow* task = findTask(state, key);
@@ -278,7 +309,7 @@
     if (!task || job->ended || task->phase == TaskPhase::Done)
         return;
     job->begun = true;
-    state.commits.dirty.insert(end.task.job);
+    markDirty(state, end.task.job);
     noteEnd(*task, end, now, actions);
     bool isLatest = isEndOfLatest(*task, end);
     // Ends of several runs may be told in any order after a change of the owner.
--- a/src/cell/Jobs.h
+++ b/src/cell/Jobs.h
@@ -11,6 +11,8 @@
 /// Results of a job's tasks, as read from the store.
 void takeProgressEntry(CellState&, const StoreEntry&, const Instant& now, CellActions&);
 
+void removeJob(CellState&, const std::string& id);
+
 /// Null: no such job or task.
 JobRow* findJob(CellState&, const std::string& id);
 TaskRow* findTask(CellState&, const TaskKey&);
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -30,6 +30,9 @@
     note(actions, LogLevel::Warning, "ownership", "", "", "stopped deciding with token " + std::to_string(state.ownership.token) + ": " + why);
     state.ownership = Ownership {};
     state.jobs.clear();
+    state.waitingJobs.clear();
+    state.runsOfJob.clear();
+    state.orderRetries.clear();
     state.finished.clear();
     state.cancels.clear();
     state.upstreams.clear();
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -101,8 +101,8 @@
 static std::vector<Candidate> collectCandidates(CellState& state, const Instant& now)
 {
     std::vector<Candidate> all;
-    for (auto& [id, job] : state.jobs)
-        addCandidates(state, job, now, all);
+    for (const std::string& id : state.waitingJobs)
+        addCandidates(state, *findJob(state, id), now, all);
     std::sort(all.begin(), all.end());
     return all;
 }
@@ -139,7 +139,7 @@
     }
     // The tightest fit keeps large rooms for large tasks.
     std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
-        return std::make_tuple(!a.isNearData, a.leftMilliCpu, a.upstream->entry.id) < std::make_tuple(!b.isNearData, b.leftMilliCpu, b.upstream->entry.id);
+        return std::make_tuple(!a.isNearData, a.leftMilliCpu, a.upstream->life) < std::make_tuple(!b.isNearData, b.leftMilliCpu, b.upstream->life);
     });
     return places;
 }
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -69,6 +69,17 @@
     upstream.used = upstream.used + run.amount;
     Resources& use = state.teamUse[run.team];
     use = use + run.amount;
+    ++state.runsOfJob[run.task.job];
+}
+
+static void giveRoomBack(CellState& state, UpstreamRow& upstream, const RunRow& run)
+{
+    upstream.used = upstream.used - run.amount;
+    Resources& use = state.teamUse[run.team];
+    use = use - run.amount;
+    auto it = state.runsOfJob.find(run.task.job);
+    if (--it->second == 0)
+        state.runsOfJob.erase(it);
 }
 
 static void sendStart(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, const Instant& now, CellActions& actions)
@@ -133,7 +144,6 @@
         return;
     RunRow& run = it->second;
     run.stopping = true;
-    run.nextOrder = now.steady;
     TaskRow* task = findTask(state, run.task);
     if (task && task->run == run.run && task->phase != TaskPhase::Done && task->phase != TaskPhase::Waiting)
         setPhase(state, run.task, TaskPhase::Stopping, now.steady);
@@ -158,6 +168,8 @@
 
 void stopRunsOf(CellState& state, const std::string& job, const Instant& now, CellActions& actions)
 {
+    if (state.runsOfJob.count(job) == 0)
+        return;
     stopRunsWhere(
         state, [&job](const RunRow& run) { return run.task.job == job; }, now, actions);
 }
@@ -176,9 +188,7 @@
     if (it == upstream.runs.end())
         return;
     const RunRow& run = it->second;
-    upstream.used = upstream.used - run.amount;
-    Resources& use = state.teamUse[run.team];
-    use = use - run.amount;
+    giveRoomBack(state, upstream, run);
     state.orders.erase(run.order);
     upstream.runs.erase(it);
     state.placementDue = true;
@@ -225,6 +235,11 @@
     upstream.nextLook = std::min(upstream.nextLook, now);
 }
 
+static void retryOrder(CellState& state, const UpstreamRow& upstream, const std::string& name, TimePoint now)
+{
+    state.orderRetries.emplace(now + kRetryInterval, RunName(upstream.entry.id, name));
+}
+
 static void handleStartResult(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, OrderOutcome outcome, const Instant& now, CellActions& actions)
 {
     judgeUpstream(upstream, outcome, now.steady);
@@ -253,10 +268,10 @@
             stopGang(state, run.task, now, actions);
         stopRun(state, upstream, name, now, actions);
     }
-    run.nextOrder = now.steady + kRetryInterval;
+    retryOrder(state, upstream, name, now.steady);
 }
 
-static void handleStopResult(UpstreamRow& upstream, RunRow& run, OrderOutcome outcome, const Instant& now)
+static void handleStopResult(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, OrderOutcome outcome, const Instant& now)
 {
     if (outcome == OrderOutcome::Ok || outcome == OrderOutcome::Stale) {
         run.stopConfirmed = true;
@@ -264,7 +279,7 @@
         upstream.nextLook = std::min(upstream.nextLook, now.steady);
         return;
     }
-    run.nextOrder = now.steady + kRetryInterval;
+    retryOrder(state, upstream, name, now.steady);
 }
 
 void handleOrderResult(CellState& state, const OrderResult& result, const Instant& now, CellActions& actions)
@@ -287,24 +302,35 @@
     RunRow& run = it->second;
     run.order = 0;
     if (run.isOrderStop)
-        handleStopResult(upstream->second, run, result.outcome, now);
+        handleStopResult(state, upstream->second, name, run, result.outcome, now);
     else
         handleStartResult(state, upstream->second, name, run, result.outcome, now, actions);
 }
 
+static void sendOrderAgain(CellState& state, const RunName& runName, const Instant& now, CellActions& actions)
+{
+    const auto& [id, name] = runName;
+    auto upstream = state.upstreams.find(id);
+    if (upstream == state.upstreams.end())
+        return;
+    auto it = upstream->second.runs.find(name);
+    if (it == upstream->second.runs.end() || it->second.order != 0)
+        return;
+    RunRow& run = it->second;
+    if (run.stopping && !run.stopConfirmed)
+        sendStop(state, upstream->second, name, run, actions);
+    else if (!run.stopping && !run.confirmed)
+        sendStart(state, upstream->second, name, run, now, actions);
+}
+
 void tickOrders(CellState& state, const Instant& now, CellActions& actions)
 {
     if (!mayOrder(state, now.steady))
         return;
-    for (auto& [id, upstream] : state.upstreams) {
-        for (auto& [name, run] : upstream.runs) {
-            if (run.order != 0 || now.steady < run.nextOrder)
-                continue;
-            if (run.stopping && !run.stopConfirmed)
-                sendStop(state, upstream, name, run, actions);
-            else if (!run.stopping && !run.confirmed)
-                sendStart(state, upstream, name, run, now, actions);
-        }
+    while (!state.orderRetries.empty() && state.orderRetries.begin()->first <= now.steady) {
+        RunName name = state.orderRetries.begin()->second;
+        state.orderRetries.erase(state.orderRetries.begin());
+        sendOrderAgain(state, name, now, actions);
     }
 }
 
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -12,6 +12,7 @@
 namespace crocuslever::cell {
 
 static constexpr Duration kDirectoryInterval = std::chrono::milliseconds(400);
+static constexpr Duration kScanInterval = std::chrono::milliseconds(3); ///< Between passes over all upstreams.
 static constexpr Duration kLookWait = std::chrono::milliseconds(1000); ///< An upstream answers earlier at an end.
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
 static constexpr Duration kUnstoredEndsInterval = std::chrono::milliseconds(50); ///< Between looks while ends wait to be stored.
@@ -269,6 +270,9 @@
         list(state, Listing::Directory, handleDirectory, actions);
     }
     storeKnownUpstreams(state, actions);
+    if (now.steady < ownership.nextUpstreamScan)
+        return;
+    ownership.nextUpstreamScan = now.steady + kScanInterval;
     for (auto it = state.upstreams.begin(); it != state.upstreams.end();) {
         UpstreamRow& upstream = it->second;
         endLapsedRuns(state, upstream, now, actions);
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -78,6 +78,15 @@
             BOOST_ERROR(broken);
     }
 
+    void checkBooks()
+    {
+        std::optional<std::size_t> n = emulator.owner();
+        if (!n)
+            return;
+        for (const std::string& wrong : findWrongBooks(emulator.core(*n)))
+            BOOST_ERROR(wrong);
+    }
+
     int startsOf(int n) const
     {
         return static_cast<int>(std::count_if(emulator.history().begin(), emulator.history().end(), [n](const RunRecord& run) { return parseTaskKey(run.task)->job == jobId(n); }));
@@ -357,12 +366,14 @@
                     emulator.crashUpstream("u" + std::to_string(random() % 6));
                 emulator.setStoreDown(n % 17 >= 15);
                 emulator.cutUpstream("u" + std::to_string(n % 6), n % 9 == 0);
+                fixture.checkBooks();
             }
             emulator.setStoreDown(false);
             for (const std::string& id : emulator.upstreamIds())
                 emulator.cutUpstream(id, false);
             emulator.runFor(std::chrono::seconds(20));
             BOOST_REQUIRE(emulator.owner().has_value());
+            fixture.checkBooks();
             for (const auto& [id, job] : emulator.jobs()) {
                 EntryReply reply = emulator.lookUp(id, fixture.owner());
                 bool isEnded = reply.outcome == EntryOutcome::State && reply.state == JobState::Completed;
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -146,4 +146,8 @@
 /// The rules that an emulated day has broken, each with the runs that show it; empty: none.
 std::vector<std::string> findBrokenRules(const CellEmulator&, const Resources& capacity);
 
+/// Where an owner's books disagree with the runs that it knows of: room used on
+/// an upstream, and by a team; empty: nowhere.
+std::vector<std::string> findWrongBooks(const CellState&);
+
 } // namespace crocuslever::cell::testing
--- a/tests/emulator/RuleChecker.cpp
+++ b/tests/emulator/RuleChecker.cpp
@@ -87,6 +87,26 @@
     }
 }
 
+std::vector<std::string> findWrongBooks(const CellState& state)
+{
+    std::vector<std::string> wrong;
+    std::map<std::string, Resources> teams;
+    for (const auto& [id, upstream] : state.upstreams) {
+        Resources used;
+        for (const auto& [name, run] : upstream.runs) {
+            used = used + run.amount;
+            teams[run.team] = teams[run.team] + run.amount;
+        }
+        if (used != upstream.used)
+            wrong.push_back("room used on " + id + " is " + std::to_string(upstream.used.milliCpu) + " mcpu, its runs take " + std::to_string(used.milliCpu));
+    }
+    for (const auto& [team, use] : state.teamUse) {
+        if (use != teams[team])
+            wrong.push_back("team " + team + " uses " + std::to_string(use.milliCpu) + " mcpu, its runs take " + std::to_string(teams[team].milliCpu));
+    }
+    return wrong;
+}
+
 std::vector<std::string> findBrokenRules(const CellEmulator& emulator, const Resources& capacity)
 {
     std::vector<std::string> broken;
