Tell the owner of each stored job at once

Each event also ended a watch, a priced call. Ruled out: advice and room, both free in that window. Now: the instance that stored a job or a cancellation sends it to the owner; the watch brings what is lost on the way, after a pause of 150 ms. A notice counts only for the owner that it was sent to, for 10 s, and if it is newer than the owner's reading of the queue, so that a late one brings nothing back.

--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -16,6 +16,7 @@
 namespace wire = crocuslever::cellwire;
 
 static constexpr std::size_t kIdLength = 16;
+static constexpr const char* kCancelled = "cancelled"; ///< Value of a cancellation's key.
 static constexpr Duration kDefaultPatience = std::chrono::milliseconds(3000);
 /// A call is answered at the latest after this share of the caller's patience.
 static constexpr double kPatienceUsed = 0.7;
@@ -108,6 +109,26 @@
 
 // Submitting.
 
+/// The owner hears of it at once, not only by its watch on the queue.
+static void tellOwner(CellState& state, const StoreEntry& stored, const Instant& now, CellActions& actions)
+{
+    const Membership& membership = state.membership;
+    if (isOwner(state)) {
+        takeQueueNotice(state, { stored, state.ownership.token, now.wallMs }, now, actions);
+        return;
+    }
+    if (membership.ownerAddress.empty() || membership.ownerAddress == state.settings.address)
+        return;
+    wire::PeerMessage message;
+    wire::QueueNotice& notice = *message.mutable_queue_notice();
+    notice.set_token(membership.ownerToken);
+    notice.set_sent_ms(now.wallMs);
+    notice.mutable_item()->set_key(stored.key);
+    notice.mutable_item()->set_value(stored.value);
+    notice.mutable_item()->set_revision(stored.modRevision);
+    tellPeer(state, membership.ownerAddress, std::move(message), actions);
+}
+
 static void handleStored(CellState& state, CallId id, const StoreReply& stored, const Instant& now, CellActions& actions)
 {
     EntryRow* row = findEntry(state, id);
@@ -118,6 +139,8 @@
         bool isNew = stored.status == StoreStatus::Ok;
         note(actions, LogLevel::Info, "entry.accept", "", row->jobId, std::string(isNew ? "stored" : "was stored already") + " for route " + row->route + ", team " + row->team + ", after " + std::to_string(toMilliseconds(now.steady - row->arrivedAt)) + " ms");
         observeLatency(state.counters, "entry_accept_seconds", now.steady - row->arrivedAt);
+        if (isNew)
+            tellOwner(state, { jobKey(row->jobId), row->record, stored.revision }, now, actions);
         reply(state, id, makeReply(EntryOutcome::Accepted), actions);
         return;
     }
@@ -132,7 +155,8 @@
     JobRecord record { row.jobId, row.route, row.team, now.wallMs, *row.call.spec };
     StoreChange command;
     command.conditions = { { jobKey(row.jobId), 0 }, { endedKey(row.jobId), 0 } };
-    command.puts = { { jobKey(row.jobId), encodeJob(record), 0 } };
+    row.record = encodeJob(record);
+    command.puts = { { jobKey(row.jobId), row.record, 0 } };
     CallId id = row.call.id;
     auto then = [id](CellState& s, const StoreReply& stored, const Instant& at, CellActions& out) { handleStored(s, id, stored, at, out); };
     change(state, std::move(command), then, actions);
@@ -291,6 +315,7 @@
     if (!row)
         return;
     if (stored.status == StoreStatus::Ok) {
+        tellOwner(state, { cancelKey(row->jobId), kCancelled, stored.revision }, now, actions);
         note(actions, LogLevel::Info, "entry.cancel", "", row->jobId, "stored after " + std::to_string(toMilliseconds(now.steady - row->arrivedAt)) + " ms");
         reply(state, id, makeReply(EntryOutcome::Cancelled), actions);
         return;
@@ -306,7 +331,7 @@
         EntryRow* entry = findEntry(s, id);
         StoreChange command;
         command.conditions = { { jobKey(entry->jobId), read.entries.front().modRevision } };
-        command.puts = { { cancelKey(entry->jobId), "cancelled", 0 } };
+        command.puts = { { cancelKey(entry->jobId), kCancelled, 0 } };
         auto then = [id](CellState& s2, const StoreReply& stored, const Instant& at, CellActions& out2) { handleCancelStored(s2, id, stored, at, out2); };
         change(s, std::move(command), then, out);
     };
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -11,6 +11,9 @@
 static constexpr std::uint64_t kAttemptSpreadMs = 60; ///< Candidates don't all write at once.
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
 static constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
+/// Instances tell the owner what they store; the watch brings what got lost on the way.
+static constexpr Duration kWatchPause = std::chrono::milliseconds(150);
+static constexpr Duration kNoticeLifetime = std::chrono::seconds(10);
 static constexpr int kRecoveryReads = 3; ///< Known upstreams, queue and progress.
 /// An upstream's clock may run this much slower than ours.
 static constexpr double kSlowClock = 1.03;
@@ -203,6 +206,7 @@
             return;
         }
         takeQueue(s, reply, at, out);
+        s.ownership.queueReadAt = reply.revision;
         finishRead(s, at, out);
         readForRecovery(s, kProgressPrefix, takeAllProgress, out);
     };
@@ -227,6 +231,19 @@
     state.ownership.watchFrom = std::max(state.ownership.watchFrom, reply.revision);
 }
 
+/// A message may have waited in a queue for long. The job in it may have ended
+/// by then, and an owner remembers ended jobs for a while only.
+void takeQueueNotice(CellState& state, const QueueNotice& notice, const Instant& now, CellActions& actions)
+{
+    const Ownership& ownership = state.ownership;
+    bool isForUs = isOwner(state) && notice.token == ownership.token;
+    bool isRecent = std::abs(now.wallMs - notice.sentMs) < toMilliseconds(kNoticeLifetime);
+    // What was stored before the queue was read is in the table, or has ended.
+    bool isNews = notice.entry.modRevision > ownership.queueReadAt;
+    if (isForUs && isRecent && isNews)
+        takeQueueEntry(state, notice.entry, now, actions);
+}
+
 static void readQueueAnew(CellState& state, CellActions& actions)
 {
     std::int64_t token = state.ownership.token;
@@ -257,10 +274,10 @@
             return;
         }
         s.ownership.watch = 0;
-        if (reply.status == StoreStatus::Ok)
+        bool isOk = reply.status == StoreStatus::Ok;
+        if (isOk)
             handleQueueChanges(s, reply, at, out);
-        else
-            s.ownership.nextWatch = at.steady + kRetryInterval;
+        s.ownership.nextWatch = at.steady + (isOk ? kWatchPause : kRetryInterval);
     };
     ownership.watch = awaitChanges(state, kQueuePrefix, ownership.watchFrom, kWatchWait, then, actions);
 }
--- a/src/cell/Ownership.h
+++ b/src/cell/Ownership.h
@@ -23,4 +23,14 @@
 /// Gives the cell up, so that another instance acquires it at once.
 void releaseOwnership(CellState&, const Instant& now, CellActions&);
 
+/// A job or a cancellation that an instance has just stored.
+struct QueueNotice {
+    StoreEntry entry;
+    std::int64_t token { 0 }; ///< Of the owner that it is for.
+    std::int64_t sentMs { 0 }; ///< Unix time.
+};
+
+/// Takes in what another instance has stored, ahead of the watch on the queue.
+void takeQueueNotice(CellState&, const QueueNotice&, const Instant& now, CellActions&);
+
 } // namespace crocuslever::cell
--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -32,6 +32,17 @@
     send(state, address, std::move(answer), actions);
 }
 
+void tellPeer(CellState& state, const std::string& address, wire::PeerMessage message, CellActions& actions)
+{
+    send(state, address, std::move(message), actions);
+}
+
+static void takeNotice(CellState& state, const wire::QueueNotice& notice, const Instant& now, CellActions& actions)
+{
+    StoreEntry entry { notice.item().key(), notice.item().value(), notice.item().revision() };
+    takeQueueNotice(state, { entry, notice.token(), notice.sent_ms() }, now, actions);
+}
+
 static void answerJobQuery(CellState& state, const wire::PeerMessage& query, CellActions& actions)
 {
     wire::PeerMessage answer;
@@ -88,6 +99,9 @@
     case wire::PeerMessage::kStoreQuery:
         passOnStoreQuery(state, message, actions);
         return;
+    case wire::PeerMessage::kQueueNotice:
+        takeNotice(state, message.queue_notice(), now, actions);
+        return;
     default:
         handleAnswer(state, message, now, actions);
     }
--- a/src/cell/PeerCalls.h
+++ b/src/cell/PeerCalls.h
@@ -15,6 +15,9 @@
 void askPeer(CellState&, const std::string& address, cellwire::PeerMessage query, Duration timeout, PeerContinuation, const Instant& now, CellActions&);
 void answerPeer(CellState&, const std::string& address, std::uint64_t call, cellwire::PeerMessage answer, CellActions&);
 
+/// Sends a message that wants no answer.
+void tellPeer(CellState&, const std::string& address, cellwire::PeerMessage, CellActions&);
+
 void handlePeerFrame(CellState&, const PeerFrame&, const Instant& now, CellActions&);
 /// Gives up on peers that don't answer.
 void tickPeerCalls(CellState&, const Instant& now, CellActions&);
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -244,6 +244,50 @@
     checkRules();
 }
 
+// The store falls silent for the owner only; its watch hears nothing of new jobs.
+BOOST_FIXTURE_TEST_CASE(AnOwnerWithoutTheStoreHearsOfJobsFromPeers, Fixture)
+{
+    std::size_t former = owner();
+    emulator.silenceStore(former, true);
+    for (int n = 1; n <= 4; ++n) {
+        emulator.submit(jobId(n), makeJob(takes(100), { makeStep(2, 1000) }), other());
+        emulator.runFor(std::chrono::milliseconds(50));
+        BOOST_CHECK_EQUAL(startsOf(n), 2);
+    }
+    emulator.submit(jobId(5), makeJob(takes(60000), { makeStep(2, 1000) }), other());
+    emulator.runFor(std::chrono::milliseconds(50));
+    emulator.cancel(jobId(5), other());
+    emulator.runFor(std::chrono::milliseconds(400));
+    for (const RunRecord& run : emulator.history())
+        BOOST_CHECK(run.to < emulator.now());
+    emulator.silenceStore(former, false);
+    emulator.runFor(std::chrono::seconds(2));
+    for (int n = 1; n <= 4; ++n)
+        BOOST_CHECK(isIn(n, JobState::Completed, other()));
+    checkRules();
+}
+
+// A notice that waited on the way until its job had ended and its owner was replaced.
+BOOST_FIXTURE_TEST_CASE(ALateNoticeStartsNothing, Fixture)
+{
+    emulator.keepLastFrame(true);
+    emulator.submit(jobId(1), makeJob(takes(100), { makeStep(1, 1000) }), other());
+    emulator.runFor(std::chrono::milliseconds(40));
+    emulator.keepLastFrame(false);
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::seconds(2), owner()));
+    std::size_t former = owner();
+    for (int life = 0; life < 2; ++life) {
+        emulator.repeatLastFrame(former);
+        emulator.runFor(std::chrono::seconds(1));
+        BOOST_CHECK_EQUAL(startsOf(1), 1);
+        emulator.restart(former);
+        BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(5), [&] { return emulator.owner() == former; }));
+    }
+    emulator.repeatLastFrame(former);
+    emulator.runFor(std::chrono::seconds(2));
+    BOOST_CHECK_EQUAL(startsOf(1), 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(RunsGoOnWhileTheStoreIsDown, Fixture)
 {
     emulator.submit(jobId(1), makeJob(takes(2000), { makeStep(4, 1000) }), other());
