Ask early about upstreams that can make room for a gang

Ruled out: the instances' time for questions; they were free. Now: what is in time asks about upstreams that can make room, and stops work only where its ticket outlasts the stop (bounds.stop-ms).

--- a/src/cell/Advice.cpp
+++ b/src/cell/Advice.cpp
@@ -31,13 +31,11 @@
 static constexpr std::size_t kMostUpstreams = 100; ///< In one question.
 static constexpr std::size_t kLeastUpstreams = 12; ///< Named for a few tasks.
 static constexpr std::size_t kUpstreamsPerTask = 2;
-/// A question is quick if this many in a row take less time than their tickets hold.
-static constexpr std::int64_t kQuickQuestions = 4;
 
-const std::string* findTicket(const StepRow& step, const UpstreamRow& upstream, TimePoint now)
+const std::string* findTicket(const StepRow& step, const UpstreamRow& upstream, TimePoint at)
 {
     auto it = step.advice.good.find(upstream.life);
-    if (it == step.advice.good.end() || now + kTicketMargin > it->second.validUntil)
+    if (it == step.advice.good.end() || at + kTicketMargin > it->second.validUntil)
         return nullptr;
     return &it->second.ticket;
 }
@@ -57,13 +55,6 @@
 
 } // namespace
 
-/// A question about upstreams that are full pays only if its answer is there
-/// long before the tickets lapse.
-static bool isQuickToAsk(const AdviceTiming& timing)
-{
-    return (timing.base + timing.perUpstream * static_cast<std::int64_t>(kLeastUpstreams)) * kQuickQuestions < timing.validity;
-}
-
 /// Upstreams that the step may use, as far as is known, without a ticket, and
 /// that have room or may make room for it.
 static std::vector<Named> findUnticketed(const CellState& state, const Route& route, const StepSpec& spec, const StepRow& row, bool mayPreempt, TimePoint now)
@@ -207,14 +198,13 @@
     askPeer(state, address, std::move(query), ask.timeout, std::move(then), now, actions);
 }
 
-bool askForAdvice(CellState& state, const Route& route, const TaskKey& step, bool isInTime, const Instant& now, CellActions& actions)
+bool askForAdvice(CellState& state, const Route& route, const TaskKey& step, bool mayPreempt, const Instant& now, CellActions& actions)
 {
     JobRow& job = *findJob(state, step.job);
     StepRow& row = job.occurrences[step.occurrence].steps[step.step];
     if (row.advice.asking != 0 || now.steady < row.advice.nextAsk)
         return true;
     const StepSpec& spec = specOf(job, step);
-    bool mayPreempt = isInTime && isQuickToAsk(*route.advice);
     std::vector<Named> named = findUnticketed(state, route, spec, row, mayPreempt, now.steady);
     if (named.empty())
         return true;
--- a/src/cell/CellSettings.h
+++ b/src/cell/CellSettings.h
@@ -21,6 +21,7 @@
     Duration runLease { std::chrono::milliseconds(5000) }; ///< Of what runs on an upstream.
     Duration longestLease { std::chrono::seconds(10) }; ///< Upstreams give no longer one.
     Duration ownerSilence { std::chrono::milliseconds(6000) }; ///< Without a renewed lease an owner stops giving orders after this.
+    Duration stopTime { std::chrono::milliseconds(500) }; ///< A stop of a run takes at most this.
     Duration gangTimeout { std::chrono::milliseconds(3000) }; ///< A gang's members wait this long for each other.
     Duration dueEarly { std::chrono::milliseconds(0) }; ///< How long before its time an occurrence may start.
     Duration keepFinished { std::chrono::seconds(150) }; ///< How long the state of an ended job is known.
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -124,12 +124,12 @@
     return std::max(n, 0);
 }
 
-/// May run tasks of the step, room aside.
-static bool isOpenTo(const CellState& state, const Candidate& candidate, const UpstreamRow& upstream, TimePoint now)
+/// May run tasks of the step that start `later`, room aside.
+static bool isOpenTo(const CellState& state, const Candidate& candidate, const UpstreamRow& upstream, TimePoint now, Duration later = Duration(0))
 {
     if (!takesWork(state, upstream, now) || !isSuitable(specOf(candidate), *candidate.route, upstream))
         return false;
-    return !candidate.route->advice || findTicket(rowOf(candidate), upstream, now);
+    return !candidate.route->advice || findTicket(rowOf(candidate), upstream, now + later);
 }
 
 static std::vector<Place> findPlaces(CellState& state, const Candidate& candidate, int most, const PromisedRoom& promised, TimePoint now)
@@ -212,7 +212,8 @@
     std::vector<PreemptionPlace> places;
     for (auto& [id, upstream] : state.upstreams) {
         int most = withinMostPerUpstream(candidate, upstream, count);
-        if (most > 0 && isOpenTo(state, candidate, upstream, now.steady))
+        // A ticket has to last until the room is free.
+        if (most > 0 && isOpenTo(state, candidate, upstream, now.steady, state.settings.stopTime))
             places.push_back({ &upstream, most });
     }
     RoomRequest request { candidate.job->record.id, amountOf(specOf(candidate)), count, candidate.priority, specOf(candidate).gang };
--- a/src/cell/Preemption.cpp
+++ b/src/cell/Preemption.cpp
@@ -9,7 +9,7 @@
 namespace crocuslever::cell {
 
 /// Work that has only just begun would be stopped again and again.
-static constexpr Duration kLeastRun = std::chrono::milliseconds(150);
+static constexpr Duration kLeastRun = std::chrono::milliseconds(400);
 
 namespace {
 
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -417,6 +417,29 @@
     checkRules();
 }
 
+// Wide tasks of a gang and slow advice, while small work takes up each bit of room at once.
+BOOST_FIXTURE_TEST_CASE(SmallWorkDoesNotShutOutAGang, Fixture)
+{
+    emulator.policy().routes.front().advice = AdviceTiming { std::chrono::milliseconds(500), std::chrono::milliseconds(7), std::chrono::milliseconds(1500) };
+    emulator.addRoute("/later/", 2).advice.reset();
+    emulator.runFor(std::chrono::seconds(1));
+    TaskScript resumes = takes(700);
+    resumes.saves = true;
+    StepSpec small = makeStep(10, 1000);
+    small.checkpoints = true;
+    for (int n = 100; n < 150; ++n)
+        emulator.submit(jobId(n), makeJob(resumes, { small }), other(), std::chrono::seconds(3), "/later/");
+    emulator.runFor(std::chrono::milliseconds(500));
+    StepSpec gang = makeStep(4, 5000);
+    gang.gang = true;
+    gang.estimate = std::chrono::seconds(2);
+    emulator.submit(jobId(1), makeJob(takes(500), { gang }), other());
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::milliseconds(2500), owner()));
+    for (int n = 100; n < 150; ++n)
+        BOOST_CHECK(waitFor(n, JobState::Completed, std::chrono::seconds(15), owner()));
+    checkRules();
+}
+
 // Work of the same priority waits its turn, and work that can't resume isn't stopped.
 BOOST_FIXTURE_TEST_CASE(NothingElseIsPreempted, Fixture)
 {
