Let a team's small work make way below its limit

Ruled out: room, advice (answers came with tickets that nobody used). Now: what is in time and waits for its team's limit stops resumable, less urgent work of that team, and reserves what becomes free for 2 s, up to half the limit.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -80,6 +80,7 @@
     int done { 0 };
     int waiting { 0 };
     std::set<int> failedRuns; ///< Of a gang, whose members fail together.
+    TimePoint limitReservedUntil; ///< It had to wait for its team's limit, and less urgent work of the team makes way.
     StepAdvice advice;
 };
 
--- a/src/cell/Fit.cpp
+++ b/src/cell/Fit.cpp
@@ -33,7 +33,7 @@
     return limit <= 0 ? most : countFits(limit - used, each, most);
 }
 
-int countWithinLimit(const CellState& state, const std::string& team, const Resources& each, int most)
+int countWithinLimit(const CellState& state, const std::string& team, const Resources& reserved, const Resources& each, int most)
 {
     if (!state.policy)
         return 0;
@@ -41,13 +41,23 @@
     if (it == state.policy->teams.end())
         return most;
     auto use = state.teamUse.find(team);
-    Resources used = use == state.teamUse.end() ? Resources {} : use->second;
+    Resources used = reserved + (use == state.teamUse.end() ? Resources {} : use->second);
     const Resources& limit = it->second.limit;
     int n = countWithin(limit.milliCpu, used.milliCpu, each.milliCpu, most);
     n = countWithin(limit.memoryMb, used.memoryMb, each.memoryMb, n);
     return countWithin(limit.accelerators, used.accelerators, each.accelerators, n);
 }
 
+bool isWithinHalfOfLimit(const CellState& state, const std::string& team, const Resources& each, int count)
+{
+    auto it = state.policy->teams.find(team);
+    if (it == state.policy->teams.end())
+        return true;
+    const Resources& limit = it->second.limit;
+    auto isWithin = [count](std::int64_t of, std::int64_t amount) { return of <= 0 || 2 * amount * count <= of; };
+    return isWithin(limit.milliCpu, each.milliCpu) && isWithin(limit.memoryMb, each.memoryMb) && isWithin(limit.accelerators, each.accelerators);
+}
+
 bool isSuitable(const StepSpec& step, const Route& route, const UpstreamRow& upstream)
 {
     if (upstream.entry.service != route.service)
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -18,6 +18,7 @@
 static constexpr Duration kPassIntervalPerCandidate = std::chrono::microseconds(25);
 /// Time alone makes work ready: occurrences fall due, pauses end, tickets lapse.
 static constexpr Duration kIdlePassInterval = std::chrono::milliseconds(50);
+static constexpr Duration kLimitReserve = std::chrono::seconds(2);
 /// A job is of no use to its submitter after this many times its objective.
 static constexpr double kUselessAfter = 3.0;
 
@@ -204,6 +205,12 @@
     return second;
 }
 
+static RoomRequest requestOf(const Candidate& candidate, int count)
+{
+    const JobRecord& record = candidate.job->record;
+    return { record.id, record.team, amountOf(specOf(candidate)), count, candidate.priority, specOf(candidate).gang };
+}
+
 /// Stops less urgent work for what can still meet its objective.
 static void preemptFor(CellState& state, const Candidate& candidate, int count, PromisedRoom& promised, const Instant& now, CellActions& actions)
 {
@@ -216,8 +223,30 @@
         if (most > 0 && isOpenTo(state, candidate, upstream, now.steady, state.settings.stopTime))
             places.push_back({ &upstream, most });
     }
-    RoomRequest request { candidate.job->record.id, amountOf(specOf(candidate)), count, candidate.priority, specOf(candidate).gang };
-    makeRoom(state, promised, places, request, now, actions);
+    makeRoom(state, promised, places, requestOf(candidate, count), now, actions);
+}
+
+/// How many of the tasks the team's limit allows now; less urgent work of the team makes room for the rest.
+static int countAllowed(CellState& state, const Candidate& candidate, int count, const PromisedRoom& promised, const Instant& now, CellActions& actions)
+{
+    const std::string& team = candidate.job->record.team;
+    int allowed = countWithinLimit(state, team, promisedToTeam(promised, team), amountOf(specOf(candidate)), count);
+    if (allowed < count && candidate.use == Use::InTime) {
+        makeRoomBelowLimit(state, promised, requestOf(candidate, count), now, actions);
+        rowOf(candidate).limitReservedUntil = now.steady + kLimitReserve;
+    }
+    return allowed;
+}
+
+/// Less urgent work of the team would take what becomes free below the limit
+/// before a gang has its tickets. A share of the limit stays open to it.
+static void reserveLimitFor(const CellState& state, const Candidate& candidate, PromisedRoom& promised, TimePoint now)
+{
+    const StepRow& row = rowOf(candidate);
+    RoomRequest request = requestOf(candidate, row.waiting);
+    bool isWanted = row.waiting > 0 && candidate.use == Use::InTime && now < row.limitReservedUntil;
+    if (isWanted && isWithinHalfOfLimit(state, request.team, request.each, request.count))
+        reserveLimit(promised, request);
 }
 
 /// Starts as many as there is room for. False: some are left.
@@ -225,7 +254,7 @@
 {
     std::vector<TaskKey> keys = waitingTasks(candidate, now.steady);
     int count = static_cast<int>(keys.size());
-    int allowed = countWithinLimit(state, candidate.job->record.team, amountOf(specOf(candidate)), count);
+    int allowed = countAllowed(state, candidate, count, promised, now, actions);
     if (allowed == 0)
         return true;
     std::vector<Place> places = findPlaces(state, candidate, allowed, promised, now.steady);
@@ -285,7 +314,7 @@
     // A former run of it is still about.
     if (static_cast<int>(keys.size()) < count)
         return true;
-    if (countWithinLimit(state, candidate.job->record.team, amountOf(specOf(candidate)), count) < count)
+    if (countAllowed(state, candidate, count, promised, now, actions) < count)
         return true;
     std::vector<Place> places = findPlaces(state, candidate, count, promised, now.steady);
     std::vector<Place> rack = specOf(candidate).colocate ? findRack(places, count) : std::vector<Place>();
@@ -378,6 +407,7 @@
             continue;
         bool isGang = specOf(candidate).gang;
         bool isPlaced = isGang ? placeGang(state, candidate, promised, now, actions) : placeSingles(state, candidate, promised, now, actions);
+        reserveLimitFor(state, candidate, promised, now.steady);
         if (isPlaced || !candidate.route->advice || saturated.count(candidate.priority) > 0)
             continue;
         if (!askForAdvice(state, *candidate.route, candidate.step, candidate.use == Use::InTime, now, actions))
--- a/src/cell/Preemption.cpp
+++ b/src/cell/Preemption.cpp
@@ -15,18 +15,13 @@
 
 /// A run that may be stopped.
 struct Victim {
+    UpstreamRow* upstream { nullptr };
     std::string name;
     int priority { 0 };
     TimePoint startedAt;
     Resources amount;
 };
 
-/// What is to be stopped on one upstream.
-struct PreemptionPlan {
-    UpstreamRow* upstream { nullptr };
-    std::vector<Victim> victims;
-};
-
 } // namespace
 
 static Resources stoppingRoom(const UpstreamRow& upstream)
@@ -74,18 +69,28 @@
     return room;
 }
 
-/// Least urgent first, then what was started last.
-static std::vector<Victim> findVictims(const UpstreamRow& upstream, int priority, TimePoint now)
+static void addVictims(UpstreamRow& upstream, int priority, TimePoint now, std::vector<Victim>& victims)
 {
-    std::vector<Victim> victims;
     for (const auto& [name, run] : upstream.runs) {
         bool isSettled = run.confirmed && !run.stopping && now - run.startedAt >= kLeastRun;
         if (isSettled && mayPreempt(run, priority))
-            victims.push_back({ name, run.priority, run.startedAt, run.amount });
+            victims.push_back({ &upstream, name, run.priority, run.startedAt, run.amount });
     }
+}
+
+/// Least urgent first, then what was started last.
+static void sortVictims(std::vector<Victim>& victims)
+{
     std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
         return std::tie(b.priority, b.startedAt, a.name) < std::tie(a.priority, a.startedAt, b.name);
     });
+}
+
+static std::vector<Victim> findVictims(UpstreamRow& upstream, int priority, TimePoint now)
+{
+    std::vector<Victim> victims;
+    addVictims(upstream, priority, now, victims);
+    sortVictims(victims);
     return victims;
 }
 
@@ -104,7 +109,7 @@
 }
 
 /// Victims on one upstream for up to `most` tasks; promises their room.
-static int planOn(const PreemptionPlace& place, const RoomRequest& request, int most, PromisedRoom& promised, PreemptionPlan& plan, TimePoint now)
+static int planOn(const PreemptionPlace& place, const RoomRequest& request, int most, PromisedRoom& promised, std::vector<Victim>& plan, TimePoint now)
 {
     UpstreamRow& upstream = *place.upstream;
     Resources room = roomOn(upstream) + stoppingRoom(upstream) - promisedOf(promised, upstream);
@@ -119,21 +124,20 @@
             continue;
         room = room - request.each;
         promised.amounts[upstream.life] = promisedOf(promised, upstream) + request.each;
-        plan.victims.insert(plan.victims.end(), chosen.begin(), chosen.end());
+        plan.insert(plan.end(), chosen.begin(), chosen.end());
         chosen.clear();
         ++planned;
     }
     return planned;
 }
 
-static void stopVictims(CellState& state, const std::vector<PreemptionPlan>& plans, const RoomRequest& request, const Instant& now, CellActions& actions)
+static void stopVictims(CellState& state, const std::vector<Victim>& victims, const RoomRequest& request, const std::string& why, const Instant& now, CellActions& actions)
 {
-    for (const PreemptionPlan& plan : plans) {
-        for (const Victim& victim : plan.victims) {
-            note(actions, LogLevel::Info, "task.preempt", plan.upstream->entry.id, request.job, victim.name + " of priority " + std::to_string(victim.priority) + " is stopped for priority " + std::to_string(request.priority));
-            state.counters.add("tasks_preempted_total");
-            stopRun(state, *plan.upstream, victim.name, now, actions);
-        }
+    for (const Victim& victim : victims) {
+        std::string priorities = std::to_string(victim.priority) + " is stopped for priority " + std::to_string(request.priority);
+        note(actions, LogLevel::Info, "task.preempt", victim.upstream->entry.id, request.job, victim.name + " of priority " + priorities + ": " + why);
+        state.counters.add("tasks_preempted_total");
+        stopRun(state, *victim.upstream, victim.name, now, actions);
     }
 }
 
@@ -141,19 +145,61 @@
 {
     PromisedRoom before = promised;
     int left = promiseFreedRoom(promised, places, request);
-    std::vector<PreemptionPlan> plans;
+    std::vector<Victim> plan;
     for (const PreemptionPlace& it : places) {
         if (left == 0)
             break;
-        PreemptionPlan plan { it.upstream, {} };
         left -= planOn(it, request, left, promised, plan, now.steady);
-        plans.push_back(std::move(plan));
     }
     if (left > 0 && request.allOrNone) {
         promised = std::move(before);
         return;
     }
-    stopVictims(state, plans, request, now, actions);
+    stopVictims(state, plan, request, "no room", now, actions);
+}
+
+static Resources timesCount(const Resources& each, int count)
+{
+    return { each.milliCpu * count, each.memoryMb * count, each.accelerators * count, each.slots * count };
+}
+
+Resources promisedToTeam(const PromisedRoom& promised, const std::string& team)
+{
+    auto it = promised.ofTeams.find(team);
+    return it == promised.ofTeams.end() ? Resources {} : it->second;
+}
+
+void reserveLimit(PromisedRoom& promised, const RoomRequest& request)
+{
+    Resources& amount = promised.ofTeams[request.team];
+    amount = amount + timesCount(request.each, request.count);
+}
+
+void makeRoomBelowLimit(CellState& state, const PromisedRoom& promised, const RoomRequest& request, const Instant& now, CellActions& actions)
+{
+    Resources freed;
+    std::vector<Victim> victims;
+    for (auto& [id, upstream] : state.upstreams) {
+        std::vector<Victim> here;
+        addVictims(upstream, request.priority, now.steady, here);
+        std::copy_if(here.begin(), here.end(), std::back_inserter(victims), [&](const Victim& it) { return upstream.runs.at(it.name).team == request.team; });
+        for (const auto& [name, run] : upstream.runs) {
+            if (run.stopping && run.team == request.team)
+                freed = freed + run.amount;
+        }
+    }
+    sortVictims(victims);
+    std::vector<Victim> plan;
+    Resources reserved = promisedToTeam(promised, request.team);
+    auto isEnough = [&] { return countWithinLimit(state, request.team, reserved - freed, request.each, request.count) == request.count; };
+    for (const Victim& victim : victims) {
+        if (isEnough())
+            break;
+        freed = freed + victim.amount;
+        plan.push_back(victim);
+    }
+    if (isEnough() || !request.allOrNone)
+        stopVictims(state, plan, request, "its team's limit is reached", now, actions);
 }
 
 } // namespace crocuslever::cell
--- a/src/cell/Preemption.h
+++ b/src/cell/Preemption.h
@@ -11,6 +11,7 @@
 /// What one pass of placement has promised of the room that stops will free.
 struct PromisedRoom {
     std::map<LifeId, Resources> amounts;
+    std::map<std::string, Resources> ofTeams; ///< Below their limits.
 };
 
 /// An upstream that may run a step, and how many tasks of it at most.
@@ -22,6 +23,7 @@
 /// What waits for room that is being freed.
 struct RoomRequest {
     std::string job;
+    std::string team;
     Resources each; ///< Of a task.
     int count { 0 };
     int priority { 0 };
@@ -34,6 +36,15 @@
 /// Room on an upstream once everything is gone that work of this priority may preempt.
 Resources roomAfterPreemption(const UpstreamRow&, int priority);
 
+/// What is promised below the team's limit.
+Resources promisedToTeam(const PromisedRoom&, const std::string& team);
+
+/// Keeps room below the team's limit for what waits.
+void reserveLimit(PromisedRoom&, const RoomRequest&);
+
+/// Stops less urgent runs of the same team, so that what waits comes below its limit.
+void makeRoomBelowLimit(CellState&, const PromisedRoom&, const RoomRequest&, const Instant& now, CellActions&);
+
 /// Promises room that is about to be free, and stops less urgent runs for the rest.
 void makeRoom(CellState&, PromisedRoom&, const std::vector<PreemptionPlace>&, const RoomRequest&, const Instant& now, CellActions&);
 
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -92,6 +92,18 @@
         return static_cast<int>(std::count_if(emulator.history().begin(), emulator.history().end(), [n](const RunRecord& run) { return parseTaskKey(run.task)->job == jobId(n); }));
     }
 
+    /// Of all runs at that moment, in thousandths.
+    std::int64_t runningCores(TimePoint at) const
+    {
+        std::int64_t sum = 0;
+        for (const RunRecord& run : emulator.history()) {
+            std::optional<TaskKey> key = parseTaskKey(run.task);
+            if (run.from <= at && run.to > at)
+                sum += emulator.jobs().at(key->job).spec.steps[key->step].each.milliCpu;
+        }
+        return sum;
+    }
+
     EmulatorSettings settings;
     CellEmulator emulator;
 };
@@ -440,6 +452,33 @@
     checkRules();
 }
 
+// The team's own small work keeps it at its limit.
+BOOST_FIXTURE_TEST_CASE(ATeamsSmallWorkMakesWayBelowItsLimit, Fixture)
+{
+    emulator.policy().teams["team"] = Team { "team", 1.0, { 12000, 0, 0, 0 }, { "key" } };
+    emulator.policy().teamOfKey["key"] = "team";
+    emulator.policy().routes.front().advice = AdviceTiming { std::chrono::milliseconds(500), std::chrono::milliseconds(7), std::chrono::milliseconds(1500) };
+    emulator.addRoute("/later/", 2).advice.reset();
+    emulator.runFor(std::chrono::seconds(1));
+    TaskScript resumes = takes(1500);
+    resumes.saves = true;
+    StepSpec small = makeStep(10, 1000);
+    small.checkpoints = true;
+    for (int n = 100; n < 110; ++n)
+        emulator.submit(jobId(n), makeJob(resumes, { small }), other(), std::chrono::seconds(3), "/later/", "key");
+    emulator.runFor(std::chrono::milliseconds(700));
+    StepSpec gang = makeStep(2, 3000);
+    gang.gang = true;
+    gang.estimate = std::chrono::seconds(2);
+    emulator.submit(jobId(1), makeJob(takes(500), { gang }), other(), std::chrono::seconds(3), "/jobs/", "key");
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::milliseconds(2500), owner()));
+    for (int n = 100; n < 110; ++n)
+        BOOST_CHECK(waitFor(n, JobState::Completed, std::chrono::seconds(30), owner()));
+    for (const RunRecord& run : emulator.history())
+        BOOST_CHECK_LE(runningCores(run.from), 12000);
+    checkRules();
+}
+
 // Work of the same priority waits its turn, and work that can't resume isn't stopped.
 BOOST_FIXTURE_TEST_CASE(NothingElseIsPreempted, Fixture)
 {
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -173,10 +173,10 @@
     return m_policy.routes.back();
 }
 
-void CellEmulator::submit(const std::string& id, const JobSpec& spec, std::size_t instance, Duration patience, const std::string& prefix)
+void CellEmulator::submit(const std::string& id, const JobSpec& spec, std::size_t instance, Duration patience, const std::string& prefix, const std::string& key)
 {
     m_jobs[id].spec = spec;
-    EntryCall call { m_nextCall++, Verb::Submit, "host", prefix + id, "", spec, patience };
+    EntryCall call { m_nextCall++, Verb::Submit, "host", prefix + id, key, spec, patience };
     m_calls[{ instance, call.id }] = [this, id](const EntryReply& reply) {
         m_jobs[id].submitted = reply.outcome;
         m_jobs[id].isAnswered = true;
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -43,7 +43,7 @@
     TimePoint now() const { return m_queue.now().steady; }
 
     // Callers.
-    void submit(const std::string& id, const JobSpec&, std::size_t instance, Duration patience = std::chrono::seconds(3), const std::string& prefix = "/jobs/");
+    void submit(const std::string& id, const JobSpec&, std::size_t instance, Duration patience = std::chrono::seconds(3), const std::string& prefix = "/jobs/", const std::string& key = "");
     /// A copy of the only route at the start, at another prefix.
     Route& addRoute(const std::string& prefix, int priority);
     void cancel(const std::string& id, std::size_t instance);
