Let a wide gang not be passed for ever below its team's limit

Now: what waits for the limit reserves it against everything that has its turn later; a request for more than half of the limit does so in turns of 2 s.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -80,7 +80,8 @@
     int done { 0 };
     int waiting { 0 };
     std::set<int> failedRuns; ///< Of a gang, whose members fail together.
-    TimePoint limitReservedUntil; ///< It had to wait for its team's limit, and less urgent work of the team makes way.
+    std::optional<TimePoint> limitedSince; ///< It waits for its team's limit, or did so a moment ago.
+    TimePoint limitedAt; ///< For the last time.
     StepAdvice advice;
 };
 
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -18,7 +18,7 @@
 static constexpr Duration kPassIntervalPerCandidate = std::chrono::microseconds(25);
 /// Time alone makes work ready: occurrences fall due, pauses end, tickets lapse.
 static constexpr Duration kIdlePassInterval = std::chrono::milliseconds(50);
-static constexpr Duration kLimitReserve = std::chrono::seconds(2);
+static constexpr Duration kLimitReserve = std::chrono::seconds(2); ///< Goes on for this long after the limit has been reached.
 /// A job is of no use to its submitter after this many times its objective.
 static constexpr double kUselessAfter = 3.0;
 
@@ -226,6 +226,13 @@
     makeRoom(state, promised, places, requestOf(candidate, count), now, actions);
 }
 
+static void noteLimited(StepRow& row, TimePoint now)
+{
+    if (!row.limitedSince)
+        row.limitedSince = now;
+    row.limitedAt = now;
+}
+
 /// How many of the tasks the team's limit allows now; less urgent work of the team makes room for the rest.
 static int countAllowed(CellState& state, const Candidate& candidate, int count, const PromisedRoom& promised, const Instant& now, CellActions& actions)
 {
@@ -233,19 +240,24 @@
     int allowed = countWithinLimit(state, team, promisedToTeam(promised, team), amountOf(specOf(candidate)), count);
     if (allowed < count && candidate.use == Use::InTime) {
         makeRoomBelowLimit(state, promised, requestOf(candidate, count), now, actions);
-        rowOf(candidate).limitReservedUntil = now.steady + kLimitReserve;
+        noteLimited(rowOf(candidate), now.steady);
     }
     return allowed;
 }
 
-/// Less urgent work of the team would take what becomes free below the limit
-/// before a gang has its tickets. A share of the limit stays open to it.
+/// Work of the team that has its turn later would take what becomes free below
+/// the limit before a gang has its tickets. What needs most of the limit leaves
+/// it open from time to time, so that nothing of the team starves.
 static void reserveLimitFor(const CellState& state, const Candidate& candidate, PromisedRoom& promised, TimePoint now)
 {
-    const StepRow& row = rowOf(candidate);
+    StepRow& row = rowOf(candidate);
+    if (row.limitedSince && now - row.limitedAt > kLimitReserve)
+        row.limitedSince.reset();
+    if (row.waiting == 0 || candidate.use != Use::InTime || !row.limitedSince)
+        return;
     RoomRequest request = requestOf(candidate, row.waiting);
-    bool isWanted = row.waiting > 0 && candidate.use == Use::InTime && now < row.limitReservedUntil;
-    if (isWanted && isWithinHalfOfLimit(state, request.team, request.each, request.count))
+    bool isOpenTurn = (now - *row.limitedSince) / kLimitReserve % 2 == 1;
+    if (!isOpenTurn || isWithinHalfOfLimit(state, request.team, request.each, request.count))
         reserveLimit(promised, request);
 }
 
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -479,6 +479,31 @@
     checkRules();
 }
 
+// A wide gang needs most of its team's limit; narrow ones that came later must not pass it for ever.
+BOOST_FIXTURE_TEST_CASE(AWideGangIsNotPassedForEverBelowALimit, Fixture)
+{
+    emulator.policy().teams["team"] = Team { "team", 1.0, { 12000, 0, 0, 0 }, { "key" } };
+    emulator.policy().teamOfKey["key"] = "team";
+    emulator.addRoute("/later/", 2);
+    emulator.runFor(std::chrono::seconds(1));
+    StepSpec narrow = makeStep(2, 2000);
+    narrow.gang = true;
+    narrow.estimate = std::chrono::seconds(8);
+    StepSpec wide = makeStep(4, 2500);
+    wide.gang = true;
+    wide.estimate = std::chrono::seconds(8);
+    for (int n = 100; n < 130; ++n) {
+        emulator.submit(jobId(n), makeJob(takes(900), { narrow }), other(), std::chrono::seconds(3), "/jobs/", "key");
+        if (n == 103)
+            emulator.submit(jobId(1), makeJob(takes(300), { wide }), other(), std::chrono::seconds(3), "/jobs/", "key");
+        emulator.runFor(std::chrono::milliseconds(200));
+    }
+    BOOST_CHECK(isIn(1, JobState::Completed, owner()));
+    for (int n = 100; n < 130; ++n)
+        BOOST_CHECK(waitFor(n, JobState::Completed, std::chrono::seconds(30), owner()));
+    checkRules();
+}
+
 // Work of the same priority waits its turn, and work that can't resume isn't stopped.
 BOOST_FIXTURE_TEST_CASE(NothingElseIsPreempted, Fixture)
 {
