Bound what a placement pass spends on work to stop

A pass took most of the owner's share of a core, and its watch, read in small pieces between passes, hung from 14.1 to 20.0 s: a cancellation stored while a new owner read the queue was taken in after 4.3 s. Ruled out: the store (watches logged: none answered, none failed), the take-over (the watch hung from 9.1 s on, too), lost notices (the token wasn't known yet). Now: at most 8 looks for work to stop a pass, 50 ms apart for a step; promised room is kept between looks; the advice service's load is asked before upstreams.

--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -44,8 +44,9 @@
 
 /// An owner under a steady load of short jobs.
 struct Owner {
-    explicit Owner(int size)
-        : state(makeSettings(), makeFormat(size))
+    /// `limit` of the only team, in thousandths of a core; 0: none.
+    explicit Owner(int size, std::int64_t limit = 0, const std::optional<AdviceTiming>& advice = std::nullopt)
+        : state(makeSettings(), makeFormat(size, limit, advice))
     {
         while (state.ownership.phase != OwnerPhase::Deciding || state.upstreams.size() < static_cast<std::size_t>(size))
             step();
@@ -60,12 +61,19 @@
         return settings;
     }
 
-    static StoreFormat makeFormat(int size)
+    static StoreFormat makeFormat(int size, std::int64_t limit, const std::optional<AdviceTiming>& advice)
     {
         FleetPolicy policy;
         policy.version = 1;
         policy.services["service"] = { "service", false };
         policy.routes.push_back({ "route", "host", "/jobs/", true, "service", 0, 3, 2.0, std::chrono::seconds(1), std::nullopt });
+        Route later = policy.routes.front();
+        later.name = "later";
+        later.prefix = "/later/";
+        later.priority = 2;
+        policy.routes.push_back(later);
+        policy.routes.front().advice = advice;
+        policy.teams["team"] = Team { "team", 1.0, { limit, 0, 0, 0 }, {} };
         Directory directory;
         for (int n = 0; n < size; ++n) {
             std::string id = "u" + std::to_string(n);
@@ -95,28 +103,31 @@
         performAll();
     }
 
-    void submit(std::int64_t count)
+    void submit(std::int64_t count, const std::string& route = "route", bool resumes = false)
     {
+        owed += count;
         if (!watch)
             return;
+        count = std::exchange(owed, 0);
         StoreReply reply;
         reply.ticket = watch->ticket;
         reply.status = StoreStatus::Ok;
         for (std::int64_t n = 0; n < count; ++n)
-            reply.entries.push_back(makeJob());
+            reply.entries.push_back(makeJob(route, resumes));
         reply.revision = revision;
         watch.reset();
         events.push({ now, reply });
     }
 
-    StoreEntry makeJob()
+    StoreEntry makeJob(const std::string& route, bool resumes)
     {
         std::string digits = std::to_string(++jobs);
-        JobRecord record { std::string(16 - digits.size(), '0') + digits, "route", "team", instant().wallMs, {} };
+        JobRecord record { std::string(16 - digits.size(), '0') + digits, route, "team", instant().wallMs, {} };
         StepSpec step;
         step.count = static_cast<int>(kTasksOfJob);
         step.each = { 5000, 10000, 0, 0 };
         step.estimate = kRunTime;
+        step.checkpoints = resumes;
         record.spec.steps.push_back(step);
         return { jobKey(record.id), encodeJob(record), ++revision };
     }
@@ -208,6 +219,7 @@
     StoreRevision revision { 1 };
     std::int64_t jobs { 0 };
     std::int64_t starts { 0 };
+    std::int64_t owed { 0 }; ///< Jobs that no watch has told so far.
 };
 
 } // namespace
@@ -229,4 +241,22 @@
 }
 BENCHMARK(ownerUnderSteadyLoad)->Arg(48)->Arg(350)->Arg(1900)->Iterations(20)->Unit(benchmark::kMillisecond);
 
+/// Upstreams full of resumable work at its team's limit, and a backlog of urgent
+/// jobs that need advice: what a step of 8 ms costs while nearly nothing can start.
+static void ownerWithBacklog(benchmark::State& bench)
+{
+    constexpr int kUpstreams = 48;
+    AdviceTiming advice { std::chrono::milliseconds(500), std::chrono::milliseconds(7), std::chrono::milliseconds(1500) };
+    Owner owner(kUpstreams, kUpstreams * kCapacity.milliCpu * 3 / 4, advice);
+    owner.submit(kUpstreams * 4, "later", true);
+    for (int n = 0; n < 60; ++n)
+        owner.step();
+    while (!owner.watch)
+        owner.step();
+    owner.submit(bench.range(0));
+    for (auto _ : bench)
+        owner.step();
+}
+BENCHMARK(ownerWithBacklog)->Arg(100)->Arg(800)->Iterations(100)->Unit(benchmark::kMillisecond);
+
 } // namespace crocuslever::cell
--- a/src/cell/Advice.cpp
+++ b/src/cell/Advice.cpp
@@ -27,6 +27,7 @@
 static constexpr Duration kAnswerSlack = std::chrono::milliseconds(600);
 static constexpr Duration kPauseAfterSilence = std::chrono::milliseconds(800);
 static constexpr Duration kPauseAfterNo = std::chrono::milliseconds(100);
+static constexpr Duration kPauseAfterNothing = std::chrono::milliseconds(25); ///< No upstream to ask about.
 static constexpr Duration kInstanceFreshness = std::chrono::milliseconds(1500);
 static constexpr std::size_t kMostUpstreams = 100; ///< In one question.
 static constexpr std::size_t kLeastUpstreams = 12; ///< Named for a few tasks.
@@ -204,16 +205,18 @@
     StepRow& row = job.occurrences[step.occurrence].steps[step.step];
     if (row.advice.asking != 0 || now.steady < row.advice.nextAsk)
         return true;
-    const StepSpec& spec = specOf(job, step);
-    std::vector<Named> named = findUnticketed(state, route, spec, row, mayPreempt, now.steady);
-    if (named.empty())
-        return true;
-    named.resize(std::min(named.size(), countToName(spec, row)));
     Question question;
     question.step = step;
     question.instance = chooseInstance(state, route, now.steady);
     if (question.instance.empty())
         return false;
+    const StepSpec& spec = specOf(job, step);
+    std::vector<Named> named = findUnticketed(state, route, spec, row, mayPreempt, now.steady);
+    if (named.empty()) {
+        row.advice.nextAsk = now.steady + kPauseAfterNothing;
+        return true;
+    }
+    named.resize(std::min(named.size(), countToName(spec, row)));
     question.cost = costOf(*route.advice, named.size());
     AskAdvice ask;
     ask.step = formatStepKey(step);
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -82,6 +82,9 @@
     std::set<int> failedRuns; ///< Of a gang, whose members fail together.
     std::optional<TimePoint> limitedSince; ///< It waits for its team's limit, or did so a moment ago.
     TimePoint limitedAt; ///< For the last time.
+    TimePoint nextPreemption; ///< Looks for work to stop again no sooner.
+    std::map<LifeId, Resources> promised; ///< Room that is being freed for it, by upstream.
+    TimePoint promisedUntil;
     StepAdvice advice;
 };
 
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -15,9 +15,15 @@
 
 static constexpr Duration kPassInterval = std::chrono::milliseconds(5);
 /// A long queue costs more to look through, and waits anyway.
-static constexpr Duration kPassIntervalPerCandidate = std::chrono::microseconds(25);
+static constexpr Duration kPassIntervalPerCandidate = std::chrono::microseconds(50);
 /// Time alone makes work ready: occurrences fall due, pauses end, tickets lapse.
 static constexpr Duration kIdlePassInterval = std::chrono::milliseconds(50);
+/// Between two looks for work that a step may preempt; nothing changes sooner.
+static constexpr Duration kPreemptionInterval = std::chrono::milliseconds(50);
+/// Of one pass. A backlog must not take all of an owner's time.
+static constexpr int kMostPreemptionLooks = 8;
+/// A stop may have to be repeated.
+static constexpr Duration kPromiseSlack = std::chrono::milliseconds(200);
 static constexpr Duration kLimitReserve = std::chrono::seconds(2); ///< Goes on for this long after the limit has been reached.
 /// A job is of no use to its submitter after this many times its objective.
 static constexpr double kUselessAfter = 3.0;
@@ -205,6 +211,17 @@
     return second;
 }
 
+/// Looks for work to stop go over all runs, so each pass has a few only.
+static bool mayLookForVictims(const Candidate& candidate, PromisedRoom& promised, TimePoint now)
+{
+    StepRow& row = rowOf(candidate);
+    if (candidate.use != Use::InTime || now < row.nextPreemption || promised.looks >= kMostPreemptionLooks)
+        return false;
+    ++promised.looks;
+    row.nextPreemption = now + kPreemptionInterval;
+    return true;
+}
+
 static RoomRequest requestOf(const Candidate& candidate, int count)
 {
     const JobRecord& record = candidate.job->record;
@@ -214,8 +231,12 @@
 /// Stops less urgent work for what can still meet its objective.
 static void preemptFor(CellState& state, const Candidate& candidate, int count, PromisedRoom& promised, const Instant& now, CellActions& actions)
 {
-    if (candidate.use != Use::InTime)
+    StepRow& row = rowOf(candidate);
+    if (!mayLookForVictims(candidate, promised, now.steady)) {
+        // Until the next look what is being freed isn't given to others.
+        promiseAgain(promised, row.promised);
         return;
+    }
     std::vector<PreemptionPlace> places;
     for (auto& [id, upstream] : state.upstreams) {
         int most = withinMostPerUpstream(candidate, upstream, count);
@@ -223,7 +244,8 @@
         if (most > 0 && isOpenTo(state, candidate, upstream, now.steady, state.settings.stopTime))
             places.push_back({ &upstream, most });
     }
-    makeRoom(state, promised, places, requestOf(candidate, count), now, actions);
+    row.promisedUntil = now.steady + state.settings.stopTime + kPromiseSlack;
+    row.promised = makeRoom(state, promised, places, requestOf(candidate, count), now, actions);
 }
 
 static void noteLimited(StepRow& row, TimePoint now)
@@ -234,14 +256,14 @@
 }
 
 /// How many of the tasks the team's limit allows now; less urgent work of the team makes room for the rest.
-static int countAllowed(CellState& state, const Candidate& candidate, int count, const PromisedRoom& promised, const Instant& now, CellActions& actions)
+static int countAllowed(CellState& state, const Candidate& candidate, int count, PromisedRoom& promised, const Instant& now, CellActions& actions)
 {
     const std::string& team = candidate.job->record.team;
     int allowed = countWithinLimit(state, team, promisedToTeam(promised, team), amountOf(specOf(candidate)), count);
-    if (allowed < count && candidate.use == Use::InTime) {
-        makeRoomBelowLimit(state, promised, requestOf(candidate, count), now, actions);
+    if (allowed < count && candidate.use == Use::InTime)
         noteLimited(rowOf(candidate), now.steady);
-    }
+    if (allowed < count && mayLookForVictims(candidate, promised, now.steady))
+        makeRoomBelowLimit(state, promised, requestOf(candidate, count), now, actions);
     return allowed;
 }
 
@@ -273,6 +295,9 @@
     for (int i = 0; i < allowed; ++i) {
         Place* it = choosePlace(state, keys[i], places);
         if (!it) {
+            // What was promised to those that have just started is to be had again.
+            if (i > 0)
+                rowOf(candidate).nextPreemption = now.steady;
             preemptFor(state, candidate, allowed - i, promised, now, actions);
             return false;
         }
@@ -403,6 +428,17 @@
 
 } // namespace
 
+/// What is being freed for one step isn't for those that have their turn before it, either.
+static void renewPromises(const std::vector<Candidate>& candidates, PromisedRoom& promised, TimePoint now)
+{
+    for (const Candidate& candidate : candidates) {
+        StepRow& row = rowOf(candidate);
+        if (candidate.use != Use::InTime || now >= row.promisedUntil)
+            row.promised.clear();
+        promiseAgain(promised, row.promised);
+    }
+}
+
 void tickPlacement(CellState& state, const Instant& now, CellActions& actions)
 {
     bool isDue = state.placementDue ? now.steady >= state.nextPlacement : now.steady >= state.nextPlacement + kIdlePassInterval;
@@ -414,7 +450,9 @@
     PromisedRoom promised;
     LargestRoom largest(state, now.steady);
     std::set<int> saturated; ///< Priorities whose questions no instance has time for.
+    renewPromises(candidates, promised, now.steady);
     for (const Candidate& candidate : candidates) {
+        withdrawPromise(promised, rowOf(candidate).promised);
         if (!largest.mayFit(candidate))
             continue;
         bool isGang = specOf(candidate).gang;
--- a/src/cell/Preemption.cpp
+++ b/src/cell/Preemption.cpp
@@ -141,21 +141,39 @@
     }
 }
 
-void makeRoom(CellState& state, PromisedRoom& promised, const std::vector<PreemptionPlace>& places, const RoomRequest& request, const Instant& now, CellActions& actions)
+std::map<LifeId, Resources> makeRoom(CellState& state, PromisedRoom& promised, const std::vector<PreemptionPlace>& places, const RoomRequest& request, const Instant& now, CellActions& actions)
 {
-    PromisedRoom before = promised;
-    int left = promiseFreedRoom(promised, places, request);
+    PromisedRoom all = promised;
+    int left = promiseFreedRoom(all, places, request);
     std::vector<Victim> plan;
     for (const PreemptionPlace& it : places) {
         if (left == 0)
             break;
-        left -= planOn(it, request, left, promised, plan, now.steady);
-    }
-    if (left > 0 && request.allOrNone) {
-        promised = std::move(before);
-        return;
+        left -= planOn(it, request, left, all, plan, now.steady);
     }
+    if (left > 0 && request.allOrNone)
+        return {};
     stopVictims(state, plan, request, "no room", now, actions);
+    std::map<LifeId, Resources> added;
+    for (const auto& [life, amount] : all.amounts) {
+        Resources more = amount - promised.amounts[life];
+        if (more != Resources {})
+            added[life] = more;
+    }
+    promised = std::move(all);
+    return added;
+}
+
+void promiseAgain(PromisedRoom& promised, const std::map<LifeId, Resources>& amounts)
+{
+    for (const auto& [life, amount] : amounts)
+        promised.amounts[life] = promised.amounts[life] + amount;
+}
+
+void withdrawPromise(PromisedRoom& promised, const std::map<LifeId, Resources>& amounts)
+{
+    for (const auto& [life, amount] : amounts)
+        promised.amounts[life] = promised.amounts[life] - amount;
 }
 
 static Resources timesCount(const Resources& each, int count)
--- a/src/cell/Preemption.h
+++ b/src/cell/Preemption.h
@@ -12,6 +12,7 @@
 struct PromisedRoom {
     std::map<LifeId, Resources> amounts;
     std::map<std::string, Resources> ofTeams; ///< Below their limits.
+    int looks { 0 }; ///< For work to stop, in this pass.
 };
 
 /// An upstream that may run a step, and how many tasks of it at most.
@@ -36,6 +37,10 @@
 /// Room on an upstream once everything is gone that work of this priority may preempt.
 Resources roomAfterPreemption(const UpstreamRow&, int priority);
 
+/// Promises once more what an earlier pass has promised; and takes it back.
+void promiseAgain(PromisedRoom&, const std::map<LifeId, Resources>&);
+void withdrawPromise(PromisedRoom&, const std::map<LifeId, Resources>&);
+
 /// What is promised below the team's limit.
 Resources promisedToTeam(const PromisedRoom&, const std::string& team);
 
@@ -45,7 +50,8 @@
 /// Stops less urgent runs of the same team, so that what waits comes below its limit.
 void makeRoomBelowLimit(CellState&, const PromisedRoom&, const RoomRequest&, const Instant& now, CellActions&);
 
-/// Promises room that is about to be free, and stops less urgent runs for the rest.
-void makeRoom(CellState&, PromisedRoom&, const std::vector<PreemptionPlace>&, const RoomRequest&, const Instant& now, CellActions&);
+/// Promises room that is about to be free, and stops less urgent runs for the
+/// rest. What it has promised, by upstream.
+std::map<LifeId, Resources> makeRoom(CellState&, PromisedRoom&, const std::vector<PreemptionPlace>&, const RoomRequest&, const Instant& now, CellActions&);
 
 } // namespace crocuslever::cell
