Look less often at upstreams whose ends wait to be stored

Now: the pause grows by 8 ms for each end that waits; a long queue of results is stored without a pause between commits.

--- a/src/cell/Commits.cpp
+++ b/src/cell/Commits.cpp
@@ -129,7 +129,8 @@
 {
     state.commits.inFlight = false;
     if (reply.status == StoreStatus::Ok) {
-        state.commits.nextCommit = now.steady + kCommitInterval;
+        // A long queue goes on at once: until it is stored upstreams list its ends again and again.
+        state.commits.nextCommit = now.steady + (state.commits.queue.size() < kMostEntries ? kCommitInterval : Duration(0));
         state.commits.chain = reply.revision;
         acknowledgeEnds(state, batch, now);
         closeEndedJobs(state, batch, now);
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -17,6 +17,9 @@
 static constexpr Duration kLookWait = std::chrono::milliseconds(1000); ///< An upstream answers earlier at an end.
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
 static constexpr Duration kUnstoredEndsInterval = std::chrono::milliseconds(50); ///< Between looks while ends wait to be stored.
+/// Every answer lists those ends again, which costs time to read.
+static constexpr Duration kIntervalPerUnstoredEnd = std::chrono::milliseconds(8);
+static constexpr Duration kLongestLookInterval = std::chrono::milliseconds(800);
 /// Fits the round trip and the coarse clock of the upstream.
 static constexpr Duration kLeaseMargin = std::chrono::milliseconds(50);
 static constexpr double kSlowClock = 1.03; ///< An upstream's second may last this many of ours.
@@ -400,6 +403,14 @@
         finishRun(state, upstream, name, how, "", now, actions);
 }
 
+static Duration lookPause(const UpstreamRow& upstream)
+{
+    std::int64_t unstored = upstream.lastEnd - upstream.acknowledged;
+    if (unstored == 0 && upstream.strangers == 0)
+        return Duration(0);
+    return std::min(kLongestLookInterval, kUnstoredEndsInterval + kIntervalPerUnstoredEnd * unstored);
+}
+
 static void takeLists(CellState& state, UpstreamRow& upstream, const LookResult& result, const Instant& now, CellActions& actions)
 {
     upstream.silences = 0;
@@ -416,8 +427,7 @@
         state.placementDue = true;
         note(actions, LogLevel::Info, "upstream.fence", upstream.entry.id, "", "knows token " + std::to_string(state.ownership.token) + "; " + std::to_string(result.running.size()) + " running, " + std::to_string(result.ended.size()) + " ended");
     }
-    bool hasUnstoredEnds = upstream.acknowledged < upstream.lastEnd;
-    upstream.nextLook = now.steady + (hasUnstoredEnds || upstream.strangers > 0 ? kUnstoredEndsInterval : Duration(0));
+    upstream.nextLook = now.steady + lookPause(upstream);
 }
 
 static void countSilence(CellState& state, UpstreamRow& upstream, OrderOutcome outcome, const Instant& now, CellActions& actions)
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -318,6 +318,28 @@
     checkRules();
 }
 
+// Many ends wait to be stored: reading them again and again would leave an owner no time.
+BOOST_FIXTURE_TEST_CASE(EndsThatWaitToBeStoredAreListedSeldom, Fixture)
+{
+    constexpr int kTasks = 240;
+    constexpr int kSeconds = 3;
+    constexpr int kMostListingsPerSecond = 5; ///< Of one end.
+    for (int n = 1; n <= kTasks / 24; ++n)
+        emulator.submit(jobId(n), makeJob(takes(50), { makeStep(24, 100) }), other());
+    emulator.runFor(std::chrono::milliseconds(20));
+    emulator.setStoreDown(true);
+    emulator.runFor(std::chrono::seconds(1));
+    std::int64_t before = emulator.endsListed();
+    emulator.runFor(std::chrono::seconds(kSeconds));
+    BOOST_CHECK_LE(emulator.endsListed() - before, kTasks * kSeconds * kMostListingsPerSecond);
+    BOOST_CHECK_GT(emulator.endsListed() - before, kTasks);
+    emulator.setStoreDown(false);
+    emulator.runFor(std::chrono::seconds(3));
+    for (int n = 1; n <= kTasks / 24; ++n)
+        BOOST_CHECK(isIn(n, JobState::Completed, other()));
+    checkRules();
+}
+
 BOOST_FIXTURE_TEST_CASE(WorkOnAnUpstreamOutOfReachMovesOnceItsLeasesAreOver, Fixture)
 {
     emulator.submit(jobId(1), makeJob(takes(9000), { makeStep(12, 1000) }), other());
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -428,6 +428,7 @@
         m_queue.after(kPollInterval, [this, caller, call, bornMs, deadline] { awaitEnd(caller, call, bornMs, deadline); });
         return;
     }
+    m_endsListed += static_cast<std::int64_t>(result.ended.size());
     result.ticket = call.ticket;
     deliver(caller, latency(1, 4), result);
 }
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -72,6 +72,8 @@
     FleetPolicy& policy() { return m_policy; }
     const FleetPolicy& policy() const { return m_policy; }
     std::vector<std::string> upstreamIds() const;
+    /// Ends that upstreams have listed in their answers, each as often as it was listed.
+    std::int64_t endsListed() const { return m_endsListed; }
     Duration adviceBusy() const { return m_adviceBusy; }
 
 private:
@@ -147,6 +149,7 @@
     std::map<std::string, CallerJob> m_jobs;
     std::map<std::pair<std::size_t, CallId>, std::function<void(const EntryReply&)>> m_calls;
     CallId m_nextCall { 1 };
+    std::int64_t m_endsListed { 0 };
     bool m_keepsLastFrame { false };
     std::string m_lastFrame;
     std::map<std::size_t, TimePoint> m_adviceFree; ///< By instance: its questions are served in turn.
