Leave a vacant cell to the larger instances

Cause: on grown deployments 38 of 44 instances have 0.12 of a core and 10 Mbit/s; an owner of 350 upstreams uses 0.2 to 0.3. Whichever read the store first took it. Now: instances tell their share of a processor with their lease, and a smaller one waits 600 ms before it acquires. Nothing changes where all are alike. Before/after: ALargeInstanceOwnsTheCell fails/passes.

--- a/src/cell/CellSettings.h
+++ b/src/cell/CellSettings.h
@@ -15,6 +15,7 @@
     std::string address; ///< "IP:port" that peers reach it at.
     std::string domain; ///< Failure domain.
     std::vector<std::string> seeds; ///< Addresses of peers; may be stale.
+    std::int64_t milliCpu { 0 }; ///< What this instance may use of a processor.
     std::uint64_t seed { 1 }; ///< Of random choices.
 
     Duration instanceLease { std::chrono::milliseconds(1500) }; ///< In the store; an owner that is gone is replaced after it.
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -175,6 +175,7 @@
     struct Instance {
         std::string address;
         std::string incarnation;
+        std::int64_t milliCpu { 0 }; ///< What it may use.
         TimePoint lastSeen; ///< In the store.
     };
     std::map<std::string, Instance> instances; ///< By name, this one included.
@@ -182,6 +183,7 @@
     std::string ownerAddress; ///< Empty: nobody owns the cell.
     std::int64_t ownerToken { 0 };
     StoreRevision ownerRevision { 0 }; ///< Of the owner's record; 0: there is none.
+    std::optional<TimePoint> vacantSince; ///< The cell wants a new owner.
     bool isOwnerRestarted { false }; ///< The owner's process is gone, though its lease goes on.
     StoreRevision epochRevision { 0 };
     std::int64_t epoch { 0 };
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -31,7 +31,7 @@
 {
     state.membership.registering = true;
     StoreChange command;
-    std::string record = encodeInstance({ state.settings.address, state.settings.incarnation });
+    std::string record = encodeInstance({ state.settings.address, state.settings.incarnation, state.settings.milliCpu });
     command.puts.push_back({ kInstancePrefix + state.settings.instance, record, state.membership.lease });
     change(state, std::move(command), handleRegistered, actions);
 }
@@ -79,7 +79,7 @@
     if (!record)
         return;
     std::string name = entry.key.substr(std::string(kInstancePrefix).size());
-    state.membership.instances[name] = { record->address, record->incarnation, now };
+    state.membership.instances[name] = { record->address, record->incarnation, record->milliCpu, now };
 }
 
 static void forgetInstances(Membership& membership, TimePoint now)
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -1,5 +1,7 @@
 #include "src/cell/Ownership.h"
 
+#include <algorithm>
+
 #include "src/cell/Ask.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
@@ -9,6 +11,8 @@
 
 static constexpr Duration kListFreshness = std::chrono::milliseconds(1000);
 static constexpr std::uint64_t kAttemptSpreadMs = 60; ///< Candidates don't all write at once.
+/// A small instance leaves a vacant cell to larger ones for this long.
+static constexpr Duration kLargerFirst = std::chrono::milliseconds(600);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
 static constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
 /// Instances tell the owner what they store; the watch brings what got lost on the way.
@@ -106,6 +110,25 @@
     membership.ownerAddress = owner.address;
     membership.ownerRevision = owner.revision;
     membership.isOwnerRestarted = !owner.instance.empty() && isRestarted(state, owner.instance, owner.incarnation);
+    bool isVacant = owner.instance.empty() || membership.isOwnerRestarted;
+    if (!isVacant)
+        membership.vacantSince.reset();
+    else if (!membership.vacantSince)
+        membership.vacantSince = now.steady;
+}
+
+/// The owner does most of the work. One with little of a processor would be
+/// the slowest part of a large cell.
+static bool isTurnOfLarger(const CellState& state, TimePoint now)
+{
+    const Membership& membership = state.membership;
+    bool isWaitOver = membership.vacantSince && now >= *membership.vacantSince + kLargerFirst;
+    if (isWaitOver)
+        return false;
+    return std::any_of(membership.instances.begin(), membership.instances.end(), [&](const auto& item) {
+        const Membership::Instance& other = item.second;
+        return other.milliCpu > state.settings.milliCpu && now - other.lastSeen < kListFreshness;
+    });
 }
 
 static StorePut ownerPut(const CellState& state, std::int64_t token)
@@ -318,7 +341,7 @@
     }
     bool isListFresh = membership.listedAt != TimePoint() && now.steady - membership.listedAt < kListFreshness;
     bool mayAcquire = ownership.phase == OwnerPhase::None && membership.registered && isListFresh && (membership.ownerAddress.empty() || membership.isOwnerRestarted);
-    if (mayAcquire && !state.stopping && now.steady >= ownership.nextAttempt)
+    if (mayAcquire && !state.stopping && now.steady >= ownership.nextAttempt && !isTurnOfLarger(state, now.steady))
         acquire(state, actions);
 }
 
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -139,6 +139,7 @@
     wire::Instance out;
     out.set_address(instance.address);
     out.set_incarnation(instance.incarnation);
+    out.set_milli_cpu(instance.milliCpu);
     return out.SerializeAsString();
 }
 
@@ -147,7 +148,7 @@
     wire::Instance in;
     if (!in.ParseFromString(bytes))
         return std::nullopt;
-    return InstanceRecord { in.address(), in.incarnation() };
+    return InstanceRecord { in.address(), in.incarnation(), in.milli_cpu() };
 }
 
 std::string encodeUpstreams(const std::vector<UpstreamTarget>& targets)
--- a/src/cell/RecordCodec.h
+++ b/src/cell/RecordCodec.h
@@ -33,6 +33,7 @@
 struct InstanceRecord {
     std::string address;
     std::string incarnation;
+    std::int64_t milliCpu { 0 }; ///< What the instance may use.
 };
 
 std::string encodeInstance(const InstanceRecord&);
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -223,6 +223,26 @@
     checkRules();
 }
 
+// Small instances leave the cell to the large ones, and take it when these are gone.
+BOOST_AUTO_TEST_CASE(ALargeInstanceOwnsTheCell)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        EmulatorSettings settings;
+        settings.instances = 9;
+        settings.largeInstances = 2;
+        settings.seed = seed;
+        Fixture fixture(settings);
+        CellEmulator& emulator = fixture.emulator;
+        std::size_t first = *emulator.owner();
+        emulator.restart(first);
+        emulator.runFor(std::chrono::milliseconds(1000));
+        BOOST_CHECK_LT(fixture.owner(), 2u);
+        emulator.kill(0);
+        emulator.kill(1);
+        BOOST_CHECK(emulator.runUntil(std::chrono::milliseconds(3500), [&] { return emulator.owner().has_value(); }));
+    }
+}
+
 // All processes are killed and come back: nobody waits for the lease of the dead.
 BOOST_FIXTURE_TEST_CASE(ARestartedOwnerIsReplacedBeforeItsLeaseEnds, Fixture)
 {
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -60,6 +60,9 @@
     settings.instance = "i" + std::to_string(n);
     settings.incarnation = settings.instance + "-" + std::to_string(++slot.lives);
     settings.address = settings.instance;
+    constexpr std::int64_t kLarge = 500;
+    constexpr std::int64_t kSmall = 120;
+    settings.milliCpu = static_cast<int>(n) < m_settings.largeInstances ? kLarge : kSmall;
     settings.seed = m_random();
     // What lies in the store besides the cell's own keys isn't written out here.
     StoreFormat format;
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -19,6 +19,7 @@
     int upstreams { 6 };
     Resources capacity { 8000, 16000, 0, 0 };
     std::uint64_t seed { 1 };
+    int largeInstances { 0 }; ///< The first ones; they have more of a processor than the others.
     double lateOrders { 0.0 }; ///< Share of orders without an answer, carried out seconds later.
     double lostAnswers { 0.0 }; ///< Share of the store's changes that are done and not answered.
 };
