Preempt a task once, and keep the room that it makes in the books

Now: a task is preempted once; upstreams' books hold what stops and what may be preempted, by priority; the emulator checks them.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -56,6 +56,7 @@
     std::set<int> failedRuns; ///< Numbers of the runs that ended as failed.
     std::string checkpoint;
     int percent { 0 }; ///< As last listed.
+    int preemptions { 0 }; ///< How often it was stopped to make room.
     TimePoint since; ///< When it entered the phase.
     TimePoint notBefore; ///< Not placed again earlier.
 };
@@ -140,6 +141,8 @@
     bool fenced { false }; ///< This life knows our token, and its lists have been read.
     std::map<std::string, RunRow> runs; ///< By task.
     Resources used;
+    Resources stopping; ///< Part of it that runs take which are being stopped.
+    std::map<int, Resources> resumable; ///< Part of it that others may preempt, by priority of the runs.
     int strangers { 0 }; ///< Listed runs of no known job; they take unknown room.
     Ticket look { 0 }; ///< In flight; 0: none.
     TimePoint lookSentAt;
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -20,6 +20,8 @@
 static constexpr Duration kIdlePassInterval = std::chrono::milliseconds(50);
 /// Between two looks for work that a step may preempt; nothing changes sooner.
 static constexpr Duration kPreemptionInterval = std::chrono::milliseconds(50);
+/// Of one task. When all is full for long, stops cost more than they bring.
+static constexpr int kMostPreemptions = 1;
 /// Of one pass. A backlog must not take all of an owner's time.
 static constexpr int kMostPreemptionLooks = 8;
 /// A stop may have to be repeated.
@@ -167,7 +169,7 @@
     row.team = candidate.job->record.team;
     row.payload = candidate.job->record.spec.payload;
     row.priority = candidate.priority;
-    row.resumes = isResumable(specOf(candidate));
+    row.resumes = isResumable(specOf(candidate)) && findTask(state, key)->preemptions < kMostPreemptions;
     row.checkpoint = findTask(state, key)->checkpoint;
     const std::string* ticket = candidate.route->advice ? findTicket(rowOf(candidate), upstream, now) : nullptr;
     if (ticket)
--- a/src/cell/Preemption.cpp
+++ b/src/cell/Preemption.cpp
@@ -4,6 +4,7 @@
 
 #include "src/cell/Ask.h"
 #include "src/cell/Fit.h"
+#include "src/cell/Jobs.h"
 #include "src/cell/Runs.h"
 
 namespace crocuslever::cell {
@@ -24,16 +25,6 @@
 
 } // namespace
 
-static Resources stoppingRoom(const UpstreamRow& upstream)
-{
-    Resources sum;
-    for (const auto& [name, run] : upstream.runs) {
-        if (run.stopping)
-            sum = sum + run.amount;
-    }
-    return sum;
-}
-
 static Resources promisedOf(const PromisedRoom& promised, const UpstreamRow& upstream)
 {
     auto it = promised.amounts.find(upstream.life);
@@ -51,7 +42,7 @@
     auto it = promised.amounts.find(upstream.life);
     if (it == promised.amounts.end())
         return room;
-    return minimum(room, room + stoppingRoom(upstream) - it->second);
+    return minimum(room, room + upstream.stopping - it->second);
 }
 
 static bool mayPreempt(const RunRow& run, int priority)
@@ -61,11 +52,9 @@
 
 Resources roomAfterPreemption(const UpstreamRow& upstream, int priority)
 {
-    Resources room = roomOn(upstream);
-    for (const auto& [name, run] : upstream.runs) {
-        if (run.stopping || mayPreempt(run, priority))
-            room = room + run.amount;
-    }
+    Resources room = roomOn(upstream) + upstream.stopping;
+    for (auto it = upstream.resumable.upper_bound(priority); it != upstream.resumable.end(); ++it)
+        room = room + it->second;
     return room;
 }
 
@@ -99,7 +88,7 @@
 {
     int left = request.count;
     for (const PreemptionPlace& it : places) {
-        Resources room = roomOn(*it.upstream) + stoppingRoom(*it.upstream) - promisedOf(promised, *it.upstream);
+        Resources room = roomOn(*it.upstream) + it.upstream->stopping - promisedOf(promised, *it.upstream);
         int fits = countFits(room, request.each, std::min(left, it.most));
         for (int n = 0; n < fits; ++n)
             promised.amounts[it.upstream->life] = promisedOf(promised, *it.upstream) + request.each;
@@ -112,7 +101,7 @@
 static int planOn(const PreemptionPlace& place, const RoomRequest& request, int most, PromisedRoom& promised, std::vector<Victim>& plan, TimePoint now)
 {
     UpstreamRow& upstream = *place.upstream;
-    Resources room = roomOn(upstream) + stoppingRoom(upstream) - promisedOf(promised, upstream);
+    Resources room = roomOn(upstream) + upstream.stopping - promisedOf(promised, upstream);
     int planned = 0;
     std::vector<Victim> chosen;
     for (const Victim& victim : findVictims(upstream, request.priority, now)) {
@@ -137,6 +126,9 @@
         std::string priorities = std::to_string(victim.priority) + " is stopped for priority " + std::to_string(request.priority);
         note(actions, LogLevel::Info, "task.preempt", victim.upstream->entry.id, request.job, victim.name + " of priority " + priorities + ": " + why);
         state.counters.add("tasks_preempted_total");
+        TaskRow* task = findTask(state, victim.upstream->runs.at(victim.name).task);
+        if (task)
+            ++task->preemptions;
         stopRun(state, *victim.upstream, victim.name, now, actions);
     }
 }
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -70,6 +70,16 @@
     Resources& use = state.teamUse[run.team];
     use = use + run.amount;
     ++state.runsOfJob[run.task.job];
+    if (run.resumes)
+        upstream.resumable[run.priority] = upstream.resumable[run.priority] + run.amount;
+}
+
+static void markStopping(UpstreamRow& upstream, RunRow& run)
+{
+    run.stopping = true;
+    upstream.stopping = upstream.stopping + run.amount;
+    if (run.resumes)
+        upstream.resumable[run.priority] = upstream.resumable[run.priority] - run.amount;
 }
 
 static void giveRoomBack(CellState& state, UpstreamRow& upstream, const RunRow& run)
@@ -77,6 +87,10 @@
     upstream.used = upstream.used - run.amount;
     Resources& use = state.teamUse[run.team];
     use = use - run.amount;
+    if (run.stopping)
+        upstream.stopping = upstream.stopping - run.amount;
+    else if (run.resumes)
+        upstream.resumable[run.priority] = upstream.resumable[run.priority] - run.amount;
     auto it = state.runsOfJob.find(run.task.job);
     if (--it->second == 0)
         state.runsOfJob.erase(it);
@@ -143,7 +157,7 @@
     if (it == upstream.runs.end() || it->second.stopping)
         return;
     RunRow& run = it->second;
-    run.stopping = true;
+    markStopping(upstream, run);
     TaskRow* task = findTask(state, run.task);
     if (task && task->run == run.run && task->phase != TaskPhase::Done && task->phase != TaskPhase::Waiting)
         setPhase(state, run.task, TaskPhase::Stopping, now.steady);
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -471,6 +471,28 @@
     checkRules();
 }
 
+// Urgent work fills everything for long: what it stops is stopped once, not for ever.
+BOOST_FIXTURE_TEST_CASE(ATaskIsPreemptedOnce, Fixture)
+{
+    emulator.addRoute("/later/", 2);
+    emulator.policy().routes.back().targetDuration = std::chrono::seconds(60);
+    emulator.runFor(std::chrono::seconds(1));
+    TaskScript resumes = takes(1500);
+    resumes.saves = true;
+    StepSpec wide = makeStep(48, 1000);
+    wide.checkpoints = true;
+    emulator.submit(jobId(1), makeJob(resumes, { wide }), other(), std::chrono::seconds(3), "/later/");
+    emulator.runFor(std::chrono::seconds(1));
+    for (int n = 2; n <= 60; ++n) {
+        emulator.submit(jobId(n), makeJob(takes(700), { makeStep(8, 1000) }), other());
+        emulator.runFor(std::chrono::milliseconds(150));
+    }
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::seconds(20), owner()));
+    BOOST_CHECK_LE(startsOf(1), 2 * 48);
+    checkBooks();
+    checkRules();
+}
+
 // Wide tasks of a gang and slow advice, while small work takes up each bit of room at once.
 BOOST_FIXTURE_TEST_CASE(SmallWorkDoesNotShutOutAGang, Fixture)
 {
--- a/tests/emulator/RuleChecker.cpp
+++ b/tests/emulator/RuleChecker.cpp
@@ -97,6 +97,17 @@
             used = used + run.amount;
             teams[run.team] = teams[run.team] + run.amount;
         }
+        Resources stopping;
+        std::map<int, Resources> resumable = upstream.resumable;
+        for (const auto& [name, run] : upstream.runs) {
+            if (run.stopping)
+                stopping = stopping + run.amount;
+            else if (run.resumes)
+                resumable[run.priority] = resumable[run.priority] - run.amount;
+        }
+        bool isBalanced = std::all_of(resumable.begin(), resumable.end(), [](const auto& it) { return it.second == Resources {}; });
+        if (stopping != upstream.stopping || !isBalanced)
+            wrong.push_back("room on " + id + " of runs that stop or may be preempted");
         if (used != upstream.used)
             wrong.push_back("room used on " + id + " is " + std::to_string(upstream.used.milliCpu) + " mcpu, its runs take " + std::to_string(used.milliCpu));
     }
