--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -245,9 +245,9 @@
 /// jobs that need advice: what a step of 8 ms costs while nearly nothing can start.
 static void ownerWithBacklog(benchmark::State& bench)
 {
-    constexpr int kUpstreams = 48;
+    constexpr std::int64_t kUpstreams = 48;
     AdviceTiming advice { std::chrono::milliseconds(500), std::chrono::milliseconds(7), std::chrono::milliseconds(1500) };
-    Owner owner(kUpstreams, kUpstreams * kCapacity.milliCpu * 3 / 4, advice);
+    Owner owner(static_cast<int>(kUpstreams), kUpstreams * kCapacity.milliCpu * 3 / 4, advice);
     owner.submit(kUpstreams * 4, "later", true);
     for (int n = 0; n < 60; ++n)
         owner.step();
--- a/src/cell/Preemption.cpp
+++ b/src/cell/Preemption.cpp
@@ -18,6 +18,7 @@
 struct Victim {
     UpstreamRow* upstream { nullptr };
     std::string name;
+    std::string team;
     int priority { 0 };
     TimePoint startedAt;
     Resources amount;
@@ -63,7 +64,7 @@
     for (const auto& [name, run] : upstream.runs) {
         bool isSettled = run.confirmed && !run.stopping && now - run.startedAt >= kLeastRun;
         if (isSettled && mayPreempt(run, priority))
-            victims.push_back({ &upstream, name, run.priority, run.startedAt, run.amount });
+            victims.push_back({ &upstream, name, run.team, run.priority, run.startedAt, run.amount });
     }
 }
 
@@ -122,9 +123,13 @@
 
 static void stopVictims(CellState& state, const std::vector<Victim>& victims, const RoomRequest& request, const std::string& why, const Instant& now, CellActions& actions)
 {
+    std::string reason = " is stopped for priority " + std::to_string(request.priority) + ": " + why;
     for (const Victim& victim : victims) {
-        std::string priorities = std::to_string(victim.priority) + " is stopped for priority " + std::to_string(request.priority);
-        note(actions, LogLevel::Info, "task.preempt", victim.upstream->entry.id, request.job, victim.name + " of priority " + priorities + ": " + why);
+        std::string message = victim.name;
+        message += " of priority ";
+        message += std::to_string(victim.priority);
+        message += reason;
+        note(actions, LogLevel::Info, "task.preempt", victim.upstream->entry.id, request.job, message);
         state.counters.add("tasks_preempted_total");
         TaskRow* task = findTask(state, victim.upstream->runs.at(victim.name).task);
         if (task)
@@ -185,19 +190,27 @@
     amount = amount + timesCount(request.each, request.count);
 }
 
+/// What runs of the team take that are being stopped.
+static Resources stoppingOf(const UpstreamRow& upstream, const std::string& team)
+{
+    Resources sum;
+    for (const auto& [name, run] : upstream.runs) {
+        if (run.stopping && run.team == team)
+            sum = sum + run.amount;
+    }
+    return sum;
+}
+
 void makeRoomBelowLimit(CellState& state, const PromisedRoom& promised, const RoomRequest& request, const Instant& now, CellActions& actions)
 {
     Resources freed;
     std::vector<Victim> victims;
     for (auto& [id, upstream] : state.upstreams) {
-        std::vector<Victim> here;
-        addVictims(upstream, request.priority, now.steady, here);
-        std::copy_if(here.begin(), here.end(), std::back_inserter(victims), [&](const Victim& it) { return upstream.runs.at(it.name).team == request.team; });
-        for (const auto& [name, run] : upstream.runs) {
-            if (run.stopping && run.team == request.team)
-                freed = freed + run.amount;
-        }
+        addVictims(upstream, request.priority, now.steady, victims);
+        freed = freed + stoppingOf(upstream, request.team);
     }
+    auto isOther = [&request](const Victim& it) { return it.team != request.team; };
+    victims.erase(std::remove_if(victims.begin(), victims.end(), isOther), victims.end());
     sortVictims(victims);
     std::vector<Victim> plan;
     Resources reserved = promisedToTeam(promised, request.team);
