Tell an owner only of jobs stored under its own epoch

Now: a job is stored on the condition that the epoch is the one whose owner will be told; if the cell has changed hands it is stored without it, and nobody is told. Ruled out by reasoning, not by a trace: the watch, which could bring the same; its window is the time until the former owner lists the cell again (0.3 s).

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -261,6 +261,8 @@
     std::string route;
     std::string team;
     std::string record; ///< As it is being stored.
+    StoreRevision epochRevision { 0 }; ///< It is stored only under this epoch, whose owner is told; 0: under any.
+    bool isEpochStale { false }; ///< The cell has changed hands; the owner hears of it by its watch.
     bool maybeStored { false }; ///< The store may have taken it.
     bool isStoring { false }; ///< A change that would take it is in flight.
     int tries { 0 };
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -129,17 +129,39 @@
     tellPeer(state, membership.ownerAddress, std::move(message), actions);
 }
 
+/// The epoch of the owner that this instance would tell; 0: it knows none.
+static StoreRevision epochOfOwner(const CellState& state)
+{
+    if (isOwner(state))
+        return state.ownership.guard;
+    const Membership& membership = state.membership;
+    return membership.epoch == membership.ownerToken ? membership.epochRevision : 0;
+}
+
+static bool hasRevision(const StoreReply& reply, const std::string& key, StoreRevision revision)
+{
+    return std::any_of(reply.entries.begin(), reply.entries.end(), [&](const StoreEntry& it) { return it.key == key && it.modRevision == revision; });
+}
+
+static void store(CellState&, EntryRow&, const Instant& now, CellActions&);
+
 static void handleStored(CellState& state, CallId id, const StoreReply& stored, const Instant& now, CellActions& actions)
 {
     EntryRow* row = findEntry(state, id);
     if (!row)
         return;
     row->isStoring = false;
+    bool isEpochOver = stored.status == StoreStatus::Conflict && row->epochRevision != 0 && !hasRevision(stored, kEpochKey, row->epochRevision);
+    if (isEpochOver) {
+        row->isEpochStale = true;
+        store(state, *row, now, actions);
+        return;
+    }
     if (stored.status == StoreStatus::Ok || stored.status == StoreStatus::Conflict) {
         bool isNew = stored.status == StoreStatus::Ok;
         note(actions, LogLevel::Info, "entry.accept", "", row->jobId, std::string(isNew ? "stored" : "was stored already") + " for route " + row->route + ", team " + row->team + ", after " + std::to_string(toMilliseconds(now.steady - row->arrivedAt)) + " ms");
         observeLatency(state.counters, "entry_accept_seconds", now.steady - row->arrivedAt);
-        if (isNew)
+        if (isNew && row->epochRevision != 0)
             tellOwner(state, { jobKey(row->jobId), row->record, stored.revision }, now, actions);
         reply(state, id, makeReply(EntryOutcome::Accepted), actions);
         return;
@@ -155,6 +177,11 @@
     JobRecord record { row.jobId, row.route, row.team, now.wallMs, *row.call.spec };
     StoreChange command;
     command.conditions = { { jobKey(row.jobId), 0 }, { endedKey(row.jobId), 0 } };
+    // An owner that has been replaced without knowing must not be told of what
+    // its successor takes for its own from the start.
+    row.epochRevision = row.isEpochStale ? 0 : epochOfOwner(state);
+    if (row.epochRevision != 0)
+        command.conditions.push_back({ kEpochKey, row.epochRevision });
     row.record = encodeJob(record);
     command.puts = { { jobKey(row.jobId), row.record, 0 } };
     CallId id = row.call.id;
