--- a/src/cell/Advice.cpp
+++ b/src/cell/Advice.cpp
@@ -214,6 +214,7 @@
     if (question.instance.empty())
         return false;
     const StepSpec& spec = specOf(job, step);
+    state.examinedPairs += static_cast<std::int64_t>(state.upstreams.size());
     std::vector<AdviceCandidate> candidates = findUnticketed(state, route, spec, row, mayPreempt, now.steady);
     if (candidates.empty()) {
         row.advice.nextQuestion = now.steady + kPauseWithoutUpstreams;
--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -105,21 +105,31 @@
     actions.push_back(Finished {});
 }
 
+const std::vector<System>& systems()
+{
+    static const std::vector<System> kSystems {
+        { "membership", tickMembership },
+        { "ownership", tickOwnership },
+        { "declarations", tickDeclarations },
+        { "peer_calls", tickPeerCalls },
+        { "upstreams", tickUpstreams },
+        { "orders", tickOrders },
+        { "placement", tickPlacement },
+        { "commits", tickCommits },
+        { "entry", tickEntry },
+        { "stop", tickStop },
+        // Redirects the store calls of all systems before it.
+        { "relay", tickRelay },
+    };
+    return kSystems;
+}
+
 void tick(CellState& state, const Instant& now, CellActions& actions)
 {
     if (state.stopped)
         return;
-    tickMembership(state, now, actions);
-    tickOwnership(state, now, actions);
-    tickDeclarations(state, now, actions);
-    tickPeerCalls(state, now, actions);
-    tickUpstreams(state, now, actions);
-    tickOrders(state, now, actions);
-    tickPlacement(state, now, actions);
-    tickCommits(state, now, actions);
-    tickEntry(state, now, actions);
-    tickStop(state, now, actions);
-    tickRelay(state, now, actions);
+    for (const System& system : systems())
+        system.tick(state, now, actions);
 }
 
 bool isReady(const CellState& state, TimePoint)
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -318,6 +318,7 @@
     CommitQueue commits;
     bool placementDue { false }; ///< Something changed that a placement pass may act on.
     TimePoint nextPlacement;
+    std::int64_t examinedPairs { 0 }; ///< Pairs of step and upstream that placement has examined.
     std::map<std::string, AdviceLoad> adviceLoads; ///< By instance name.
 
     std::map<CallId, EntryRow> entries;
@@ -336,6 +337,14 @@
 
 /// Handles one event; appends the resulting actions for the I/O layer.
 void handleEvent(CellState&, const CellEvent&, const Instant& now, CellActions&);
+/// A component of the core, with its periodic work.
+struct System {
+    const char* name;
+    void (*tick)(CellState&, const Instant& now, CellActions&);
+};
+
+/// All components, in the order in which tick() runs them.
+const std::vector<System>& systems();
 /// Runs the periodic work of all components. Called after events and at least every few milliseconds.
 void tick(CellState&, const Instant& now, CellActions&);
 /// True if this instance should receive new connections: it has a configuration and is not stopping.
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -146,6 +146,7 @@
 {
     const StepSpec& spec = specOf(candidate);
     std::vector<Place> places;
+    state.examinedPairs += static_cast<std::int64_t>(state.upstreams.size());
     for (auto& [id, upstream] : state.upstreams) {
         Resources room = unreservedRoom(upstream, reservations);
         int fits = capPerUpstream(candidate, upstream, countFits(room, amountOf(spec), most));
@@ -241,6 +242,7 @@
         return;
     }
     std::vector<PreemptionPlace> places;
+    state.examinedPairs += static_cast<std::int64_t>(state.upstreams.size());
     for (auto& [id, upstream] : state.upstreams) {
         int most = capPerUpstream(candidate, upstream, count);
         // The ticket has to stay valid until the stopped runs have left.
@@ -451,6 +453,7 @@
     if (!isDue || !mayIssueOrders(state, now.steady) || !state.policy || state.stopping)
         return;
     state.placementDue = false;
+    state.counters.add("placement_passes_total");
     std::vector<Candidate> candidates = collectCandidates(state, now);
     state.nextPlacement = now.steady + kPassInterval + kPassIntervalPerCandidate * static_cast<std::int64_t>(candidates.size());
     ReservedRoom reservations;
