Store ended jobs first, in lanes, and acknowledge ends one by one

Cause: ends were stored by one transaction of at most 32 operations at a time, in the order of the changes. A transaction takes several turns of the owner's loop, so that slow turns (or a slow store) made commits rare: 6 a second in place of 49. Ended jobs waited behind the progress of others. No end at all was acknowledged until the queue was empty, and callers who saw their jobs still running asked again (400 lookups a second became 2,500), both of which made the turns slower: the cell did not recover after the burst.

Now a job's changes go through one of four chains of commits, each with a key of its own, so that up to four transactions are under way; ended jobs go first, with a part of each transaction kept for the others; an end is acknowledged once the change of its own job is stored. A lane commits every 50 ms, or at once while a full transaction waits, so that a quiet cell makes no more than 80 commits a second. A lane's commit still requires the previous one's revision, and a job never changes its lane: a delayed commit cannot restore an old record.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -104,6 +104,8 @@
     bool hasStarted { false }; ///< True once any task has started.
     bool mayHaveProgress { false }; ///< True if the store may hold a progress record.
     std::optional<JobState> ended; ///< The final state, set before it is stored.
+    std::int64_t changed { 0 }; ///< Number of the latest change; see CommitQueue.
+    std::int64_t stored { 0 }; ///< Changes up to this number are stored.
 };
 
 using JobTable = std::unordered_map<std::string, JobRow>;
@@ -134,6 +136,13 @@
     bool isPreemptible { false }; ///< A stop loses no work, and the task has preemptions left.
 };
 
+/// A run end that the owner has processed and the upstream still lists.
+struct PendingEnd {
+    std::int64_t number { 0 };
+    std::string job;
+    std::int64_t change { 0 }; ///< The change of the job that has to be stored before the end may be dropped.
+};
+
 struct UpstreamRow {
     DirectoryEntry entry;
     UpstreamIncarnation incarnation { 0 };
@@ -156,6 +165,7 @@
     TimePoint leasesEnd; ///< Upper bound on the expiry of all run leases given.
     std::int64_t lastEnd { 0 }; ///< Highest number of a processed run end.
     std::int64_t acknowledged { 0 }; ///< Run ends up to this number are stored.
+    std::deque<PendingEnd> pendingEnds; ///< Processed ends above `acknowledged`.
     TimePoint backoffUntil; ///< No new runs are placed before this.
 };
 
@@ -239,14 +249,20 @@
     std::set<Ticket> relayedTickets; ///< Calls relayed on behalf of peers; they bypass the relay, too.
 };
 
-/// Group commit of the owner's job state to the store.
-struct CommitQueue {
-    std::deque<std::string> queue; ///< Ids of jobs with unstored changes, oldest change first.
-    std::unordered_set<std::string> dirty; ///< The ids in `queue`.
+/// A chain of commits, each of which requires the previous one. A job always uses the same lane.
+struct CommitLane {
+    std::deque<std::string> ended; ///< Ids of ended jobs with unstored changes, oldest first.
+    std::deque<std::string> continuing; ///< The same for other jobs. Ids that are not dirty are stale.
     bool inFlight { false };
     TimePoint nextCommit;
-    TimePoint nextIdlePass; ///< Next acknowledgement pass while nothing is dirty.
-    StoreRevision lastRevision { 0 }; ///< Revision of the commit key after the latest commit.
+    StoreRevision lastRevision { 0 }; ///< Revision of the lane's key after its latest commit.
+};
+
+/// Group commit of the owner's job state to the store.
+struct CommitQueue {
+    std::vector<CommitLane> lanes;
+    std::unordered_set<std::string> dirty; ///< Jobs with changes that no commit in flight contains.
+    std::int64_t changes { 0 }; ///< Number of changes so far.
 };
 
 struct FinishedJob {
--- a/src/cell/Commits.cpp
+++ b/src/cell/Commits.cpp
@@ -10,33 +10,55 @@
 
 namespace crocuslever::cell {
 
-static constexpr Duration kCommitInterval = std::chrono::milliseconds(20);
+/// A store that answers slowly takes several transactions at a time.
+static constexpr std::size_t kLanes = 4;
+static constexpr Duration kCommitInterval = std::chrono::milliseconds(50); ///< Of a lane.
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(120);
 static constexpr std::size_t kMaxEntriesPerChange = 32; ///< Operations of one transaction, including its conditions.
 static constexpr std::size_t kMaxEntriesPerEndedJob = 4;
-static constexpr Duration kIdleInterval = std::chrono::milliseconds(5); ///< Between acknowledgement passes over all upstreams.
+/// Part of a transaction that ended jobs leave to others, whose run ends could otherwise never be acknowledged.
+static constexpr std::size_t kEntriesForContinuingJobs = 8;
 static constexpr Duration kFinishedSweepInterval = std::chrono::seconds(1);
 
 namespace {
 
 /// The contents of one commit.
 struct Batch {
+    std::size_t lane { 0 };
     std::vector<std::string> jobs;
-    /// By upstream: start time of its incarnation, and the highest processed end.
-    std::map<std::string, std::pair<std::int64_t, std::int64_t>> ends;
+    std::int64_t changes { 0 }; ///< The jobs' changes up to this number are included.
 };
 
 } // namespace
 
-void markDirty(CellState& state, const std::string& job)
+static CommitLane& laneOf(CommitQueue& commits, const std::string& job)
 {
-    if (state.commits.dirty.insert(job).second)
-        state.commits.queue.push_back(job);
+    commits.lanes.resize(kLanes);
+    return commits.lanes[std::hash<std::string> {}(job) % kLanes];
+}
+
+static void enqueue(CellState& state, const JobRow& job)
+{
+    const std::string& id = job.record.id;
+    CommitLane& lane = laneOf(state.commits, id);
+    bool isNew = state.commits.dirty.insert(id).second;
+    if (job.ended)
+        lane.ended.push_back(id);
+    else if (isNew)
+        lane.continuing.push_back(id);
+}
+
+void markDirty(CellState& state, JobRow& job)
+{
+    job.changed = ++state.commits.changes;
+    enqueue(state, job);
 }
 
 bool isAllCommitted(const CellState& state)
 {
-    return state.commits.dirty.empty() && !state.commits.inFlight;
+    const std::vector<CommitLane>& lanes = state.commits.lanes;
+    bool isInFlight = std::any_of(lanes.begin(), lanes.end(), [](const CommitLane& it) { return it.inFlight; });
+    return state.commits.dirty.empty() && !isInFlight;
 }
 
 /// Adds the job to the transaction. Returns the number of operations added.
@@ -57,53 +79,64 @@
     return job.mayHaveProgress ? kMaxEntriesPerEndedJob : kMaxEntriesPerEndedJob - 1;
 }
 
-static Batch fillBatch(CellState& state, StoreChange& command)
+/// Adds jobs from the queue while there are at least `each` of the `entries` left. Returns the entries left.
+static std::size_t addJobs(CellState& state, std::deque<std::string>& queue, std::size_t entries, std::size_t each, Batch& batch, StoreChange& command)
 {
-    Batch batch;
-    CommitQueue& commits = state.commits;
-    std::size_t entries = command.conditions.size() + command.puts.size();
-    while (!commits.queue.empty() && entries + kMaxEntriesPerEndedJob <= kMaxEntriesPerChange) {
-        std::string id = std::move(commits.queue.front());
-        commits.queue.pop_front();
-        commits.dirty.erase(id);
+    while (!queue.empty() && entries >= each) {
+        std::string id = std::move(queue.front());
+        queue.pop_front();
         JobRow* job = findJob(state, id);
-        if (!job)
+        if (state.commits.dirty.erase(id) == 0 || !job)
             continue;
-        entries += addJob(*job, command);
+        entries -= addJob(*job, command);
         batch.jobs.push_back(id);
     }
-    if (!commits.queue.empty())
-        return batch;
-    for (const auto& [id, upstream] : state.upstreams) {
-        if (upstream.acknowledged < upstream.lastEnd)
-            batch.ends[id] = { upstream.entry.bornMs, upstream.lastEnd };
-    }
+    return entries;
+}
+
+/// Ended jobs go first, as their callers wait for them.
+static Batch fillBatch(CellState& state, std::size_t laneNumber, StoreChange& command)
+{
+    CommitLane& lane = state.commits.lanes[laneNumber];
+    Batch batch;
+    batch.lane = laneNumber;
+    batch.changes = state.commits.changes;
+    std::size_t entries = kMaxEntriesPerChange - command.conditions.size() - command.puts.size();
+    std::size_t kept = std::min(lane.continuing.size(), kEntriesForContinuingJobs);
+    entries = kept + addJobs(state, lane.ended, entries - kept, kMaxEntriesPerEndedJob, batch, command);
+    // A job that has ended since it was queued takes as many entries as any other ended job.
+    addJobs(state, lane.continuing, entries, kMaxEntriesPerEndedJob, batch, command);
     return batch;
 }
 
-static void acknowledgeEnds(CellState& state, const Batch& batch, const Instant& now)
+void acknowledgeStoredEnds(CellState& state, UpstreamRow& upstream, const Instant& now)
 {
-    for (const auto& [id, level] : batch.ends) {
-        auto it = state.upstreams.find(id);
-        if (it == state.upstreams.end() || it->second.entry.bornMs != level.first)
-            continue;
-        if (level.second <= it->second.acknowledged)
-            continue;
-        it->second.acknowledged = level.second;
-        it->second.nextPoll = std::min(it->second.nextPoll, now.steady);
+    std::deque<PendingEnd>& ends = upstream.pendingEnds;
+    while (!ends.empty()) {
+        const JobRow* job = findJob(state, ends.front().job);
+        if (job && job->stored < ends.front().change)
+            return;
+        upstream.acknowledged = ends.front().number;
+        upstream.nextPoll = std::min(upstream.nextPoll, now.steady);
+        ends.pop_front();
     }
 }
 
-static void retireEndedJobs(CellState& state, const Batch& batch, const Instant& now)
+static void recordStored(CellState& state, const Batch& batch, const Instant& now)
 {
     for (const std::string& id : batch.jobs) {
         JobRow* job = findJob(state, id);
-        if (!job || !job->ended || state.commits.dirty.count(id) > 0)
+        if (!job)
+            continue;
+        job->stored = batch.changes;
+        if (!job->ended || state.commits.dirty.count(id) > 0)
             continue;
         state.finished[id] = { *job->ended, now.steady + state.settings.finishedRetention };
         state.cancellations.erase(id);
         removeJob(state, id);
     }
+    for (auto& [id, upstream] : state.upstreams)
+        acknowledgeStoredEnds(state, upstream, now);
 }
 
 static StoreRevision revisionOf(const StoreReply& reply, const std::string& key)
@@ -115,49 +148,55 @@
     return 0;
 }
 
-static void resolveConflict(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+static void resolveConflict(CellState& state, std::size_t laneNumber, const StoreReply& reply, const Instant& now, CellActions& actions)
 {
     if (revisionOf(reply, kEpochKey) != state.ownership.epochRevision) {
         loseOwnership(state, "the store has a later epoch", actions);
         return;
     }
-    // An unanswered commit was applied, or this is the first commit of this owner.
-    state.commits.lastRevision = revisionOf(reply, kCommitKey);
-    state.commits.nextCommit = now.steady;
+    // An unanswered commit was applied, or this is the lane's first commit of this owner.
+    CommitLane& lane = state.commits.lanes[laneNumber];
+    lane.lastRevision = revisionOf(reply, commitKey(laneNumber));
+    lane.nextCommit = now.steady;
 }
 
+static std::size_t queuedIn(const CommitLane& lane) { return lane.ended.size() + lane.continuing.size(); }
+
 static void handleCommit(CellState& state, const Batch& batch, const StoreReply& reply, const Instant& now, CellActions& actions)
 {
-    state.commits.inFlight = false;
+    CommitLane& lane = state.commits.lanes[batch.lane];
+    lane.inFlight = false;
     if (reply.status == StoreStatus::Ok) {
         // A long queue continues at once: upstreams repeat its ends in each answer until they are stored.
-        state.commits.nextCommit = now.steady + (state.commits.queue.size() < kMaxEntriesPerChange ? kCommitInterval : Duration(0));
-        state.commits.lastRevision = reply.revision;
-        acknowledgeEnds(state, batch, now);
-        retireEndedJobs(state, batch, now);
+        lane.nextCommit = now.steady + (queuedIn(lane) < kMaxEntriesPerChange / kMaxEntriesPerEndedJob ? kCommitInterval : Duration(0));
+        lane.lastRevision = reply.revision;
+        recordStored(state, batch, now);
         return;
     }
     // Retries with the current records. Records only ever gain, so they cover those of the failed commit.
-    for (const std::string& id : batch.jobs)
-        markDirty(state, id);
-    state.commits.nextCommit = now.steady + kRetryInterval;
+    for (const std::string& id : batch.jobs) {
+        if (const JobRow* job = findJob(state, id))
+            enqueue(state, *job);
+    }
+    lane.nextCommit = now.steady + kRetryInterval;
     if (reply.status == StoreStatus::Conflict)
-        resolveConflict(state, reply, now, actions);
+        resolveConflict(state, batch.lane, reply, now, actions);
     else
         logMessage(actions, LogLevel::Warning, "commit", "", "", "commit of " + std::to_string(batch.jobs.size()) + " jobs failed; retrying");
 }
 
-static void commit(CellState& state, CellActions& actions)
+static void commit(CellState& state, std::size_t laneNumber, CellActions& actions)
 {
+    CommitLane& lane = state.commits.lanes[laneNumber];
     StoreChange command;
-    // Each commit requires the revision of the previous one. Otherwise a delayed
+    // Each commit requires the revision of the lane's previous one. Otherwise a delayed
     // commit that is applied after its successor would restore old records.
-    command.conditions = { { kEpochKey, state.ownership.epochRevision }, { kCommitKey, state.commits.lastRevision } };
-    command.puts.push_back({ kCommitKey, std::to_string(state.ownership.token), 0 });
-    std::shared_ptr<const Batch> batch = std::make_shared<Batch>(fillBatch(state, command));
+    command.conditions = { { kEpochKey, state.ownership.epochRevision }, { commitKey(laneNumber), lane.lastRevision } };
+    command.puts.push_back({ commitKey(laneNumber), std::to_string(state.ownership.token), 0 });
+    std::shared_ptr<const Batch> batch = std::make_shared<Batch>(fillBatch(state, laneNumber, command));
     if (batch->jobs.empty())
         return;
-    state.commits.inFlight = true;
+    lane.inFlight = true;
     std::int64_t token = state.ownership.token;
     auto then = [batch, token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
         if (isOwner(s) && s.ownership.token == token)
@@ -166,18 +205,6 @@
     sendChange(state, std::move(command), then, actions);
 }
 
-/// Acknowledges ends at once if no job has unstored changes.
-static void acknowledgeIdleEnds(CellState& state, const Instant& now)
-{
-    state.commits.nextIdlePass = now.steady + kIdleInterval;
-    for (auto& [id, upstream] : state.upstreams) {
-        if (upstream.acknowledged == upstream.lastEnd)
-            continue;
-        upstream.acknowledged = upstream.lastEnd;
-        upstream.nextPoll = std::min(upstream.nextPoll, now.steady);
-    }
-}
-
 static void expireFinishedJobs(CellState& state, TimePoint now)
 {
     if (now < state.nextFinishedSweep)
@@ -192,12 +219,11 @@
     if (!isOwner(state))
         return;
     expireFinishedJobs(state, now.steady);
-    if (state.commits.inFlight)
-        return;
-    if (state.commits.dirty.empty() && now.steady >= state.commits.nextIdlePass)
-        acknowledgeIdleEnds(state, now);
-    if (!state.commits.dirty.empty() && now.steady >= state.commits.nextCommit)
-        commit(state, actions);
+    for (std::size_t n = 0; n < state.commits.lanes.size(); ++n) {
+        const CommitLane& lane = state.commits.lanes[n];
+        if (!lane.inFlight && queuedIn(lane) > 0 && now.steady >= lane.nextCommit)
+            commit(state, n, actions);
+    }
 }
 
 } // namespace crocuslever::cell
--- a/src/cell/Commits.h
+++ b/src/cell/Commits.h
@@ -9,7 +9,10 @@
 void tickCommits(CellState&, const Instant& now, CellActions&);
 
 /// Queues the job for the next commit.
-void markDirty(CellState&, const std::string& job);
+void markDirty(CellState&, JobRow&);
+
+/// Acknowledges the upstream's processed ends, in order, up to the first whose job is not stored yet.
+void acknowledgeStoredEnds(CellState&, UpstreamRow&, const Instant& now);
 
 /// True if no change is queued and no commit is in flight.
 bool isAllCommitted(const CellState&);
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -175,7 +175,7 @@
 static void endJob(CellState& state, JobRow& job, JobState ended, const std::string& why, const Instant& now, CellActions& actions)
 {
     job.ended = ended;
-    markDirty(state, job.record.id);
+    markDirty(state, job);
     state.placementDue = true;
     Duration age = fromMilliseconds(std::max<std::int64_t>(0, now.wallMs - job.record.acceptedMs));
     observeLatency(state.counters, std::string("job_seconds_") + toString(ended), age);
@@ -310,7 +310,7 @@
     if (!task || job->ended || task->phase == TaskPhase::Done)
         return;
     job->hasStarted = true;
-    markDirty(state, end.task.job);
+    markDirty(state, *job);
     logRunEnd(*task, end, now, actions);
     bool isLatest = isEndOfLatest(*task, end);
     // After a change of owner, the ends of several runs may be reported in any order.
--- a/src/cell/Keys.h
+++ b/src/cell/Keys.h
@@ -12,7 +12,8 @@
 constexpr const char* kOwnerKey = "c/owner"; ///< The owner's record; attached to the owner's lease.
 constexpr const char* kInstancePrefix = "c/i/"; ///< Instance records; each is attached to the instance's lease.
 constexpr const char* kUpstreamsKey = "u/known"; ///< Record of the upstreams that may run tasks of the cell.
-constexpr const char* kCommitKey = "u/commit"; ///< Written by each commit; its revision is a condition of the next.
+/// Written by each commit of the lane with this number; its revision is a condition of the lane's next commit.
+constexpr const char* kCommitPrefix = "u/commit/";
 constexpr const char* kQueuePrefix = "q/"; ///< Jobs and cancellations; watched by the owner.
 constexpr const char* kJobPrefix = "q/j/"; ///< Records of jobs that have not ended.
 constexpr const char* kCancelPrefix = "q/c/"; ///< Cancellations of jobs that have not ended.
@@ -22,6 +23,7 @@
 inline std::string jobKey(const std::string& id) { return kJobPrefix + id; }
 inline std::string cancelKey(const std::string& id) { return kCancelPrefix + id; }
 inline std::string progressKey(const std::string& id) { return kProgressPrefix + id; }
+inline std::string commitKey(std::size_t lane) { return kCommitPrefix + std::to_string(lane); }
 inline std::string endedKey(const std::string& id) { return kEndedPrefix + id; }
 
 } // namespace crocuslever::cell
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/cell/Commits.h"
 #include "src/cell/Fit.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
@@ -106,6 +107,7 @@
     upstream.clockKnown = false;
     upstream.lastEnd = 0;
     upstream.acknowledged = 0;
+    upstream.pendingEnds.clear();
     upstream.failedPolls = 0;
     // The clock of the new incarnation starts over, so an order to the previous one may have given it
     // the longest lease that it accepts.
@@ -308,13 +310,18 @@
             continue;
         upstream.lastEnd = end.number;
         std::optional<TaskKey> key = parseTaskKey(end.task);
-        if (!key)
+        if (!key) {
+            upstream.pendingEnds.push_back({ end.number, {}, 0 });
             continue;
+        }
         auto run = upstream.runs.find(end.task);
         if (run != upstream.runs.end() && run->second.run <= end.run)
             removeRun(state, upstream, end.task);
         handleRunEnd(state, { *key, end.run, upstream.entry.id, end.how, end.checkpoint }, now, actions);
+        const JobRow* job = findJob(state, key->job);
+        upstream.pendingEnds.push_back({ end.number, key->job, job ? job->changed : 0 });
     }
+    acknowledgeStoredEnds(state, upstream, now);
 }
 
 /// True if a listed run must be stopped: its task has ended, or another run of the task may continue.
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -343,6 +343,54 @@
     checkRules();
 }
 
+// Callers did not learn for seconds that their jobs were done, as their ends waited to be stored.
+BOOST_AUTO_TEST_CASE(DoneJobsWaitToBeStored)
+{
+    constexpr int kJobsPerSecond = 100;
+    constexpr int kSeconds = 5;
+    EmulatorSettings settings;
+    settings.upstreams = 40;
+    settings.capacity = { 64000, 256000, 0, 0 };
+    settings.storeDelay = std::chrono::milliseconds(150);
+    Fixture fixture(settings);
+    CellEmulator& emulator = fixture.emulator;
+    StepSpec second = makeStep(2, 1000);
+    second.after = { 0 };
+    std::size_t owner = fixture.owner();
+    for (int n = 1; n <= kJobsPerSecond * kSeconds; ++n) {
+        emulator.submit(jobId(n), makeJob(makeScript(200 + n % 300), { makeStep(2, 1000), second }), fixture.other());
+        emulator.runFor(std::chrono::milliseconds(1000 / kJobsPerSecond));
+        std::int64_t unstored = std::count_if(emulator.core(owner).jobs.begin(), emulator.core(owner).jobs.end(), [](const auto& item) { return item.second.ended.has_value(); });
+        BOOST_REQUIRE_LE(unstored, kJobsPerSecond);
+    }
+    emulator.runFor(std::chrono::milliseconds(2000));
+    for (int n = 1; n <= kJobsPerSecond * kSeconds; ++n)
+        BOOST_CHECK(fixture.isIn(n, JobState::Completed, owner));
+    fixture.checkRules();
+}
+
+// While some changes waited to be stored, no end of any job was acknowledged.
+BOOST_AUTO_TEST_CASE(EndsStayUnacknowledgedWhileOthersAreStored)
+{
+    EmulatorSettings settings;
+    settings.upstreams = 40;
+    settings.capacity = { 64000, 256000, 0, 0 };
+    settings.storeDelay = std::chrono::milliseconds(150);
+    Fixture fixture(settings);
+    CellEmulator& emulator = fixture.emulator;
+    constexpr std::int64_t kMaxPending = 600; ///< Ends of two seconds.
+    std::size_t owner = fixture.owner();
+    for (int n = 1; n <= 500; ++n) {
+        emulator.submit(jobId(n), makeJob(makeScript(200 + n % 300), { makeStep(3, 1000) }), fixture.other());
+        emulator.runFor(std::chrono::milliseconds(10));
+        std::int64_t pending = 0;
+        for (const auto& [id, upstream] : emulator.core(owner).upstreams)
+            pending += upstream.lastEnd - upstream.acknowledged;
+        BOOST_REQUIRE_LE(pending, kMaxPending);
+    }
+    fixture.checkRules();
+}
+
 // Upstreams repeat unacknowledged ends in each answer. While the store is down and many ends wait,
 // polls have to slow down, or processing the answers would take all of the owner's time.
 BOOST_FIXTURE_TEST_CASE(UnstoredEndsAreListedRarely, Fixture)
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -350,7 +350,7 @@
         for (const crocuslever::testing::ModelOperationResult& it : result.value().results)
             reply.entries.insert(reply.entries.end(), it.entries.begin(), it.entries.end());
     }
-    deliver(caller, latency(3, 8), reply);
+    deliver(caller, m_settings.storeDelay + latency(3, 8), reply);
 }
 
 void CellEmulator::perform(const Caller& caller, const LeaseGrant& call)
@@ -480,8 +480,11 @@
     free = std::max(free, now()) + serviceTime;
     m_adviceBusy += serviceTime;
     AdviceResult result { request.ticket, true, {}, timing.validity };
-    for (const std::string& id : request.upstreams)
-        result.good.push_back({ id, "ticket" });
+    for (const std::string& id : request.upstreams) {
+        bool isGood = static_cast<int>(std::hash<std::string> {}(request.step + id) % 100) < m_settings.goodAdvice;
+        if (isGood)
+            result.good.push_back({ id, "ticket" });
+    }
     deliver(caller, free - now(), result);
 }
 
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -22,6 +22,8 @@
     int largeInstances { 0 }; ///< Number of instances, from the first, with a larger processor share.
     double lateOrders { 0.0 }; ///< Share of orders that get no answer and are executed seconds later.
     double lostAnswers { 0.0 }; ///< Share of store changes that are applied but not answered.
+    Duration storeDelay { 0 }; ///< Added to the answers to store changes.
+    int goodAdvice { 100 }; ///< Percent of upstreams that the advice service names as good, by step and upstream.
 };
 
 /// A submitted job, and the answers that its caller got.
