Tell an owner of its successor by the queue's watch

Cause: the queue's watch of the former owner delivers that job, and the former owner learns of its successor only from its next list of the cell, up to 300 ms later. Notices were shut out by the epoch already, the watch was not.

An acquisition now also writes its token below the queue's prefix, in the same transaction. The watch then cannot deliver a job of the successor without the token, in the same answer or an earlier one, and an owner that sees a higher token gives up before it applies anything of that answer. The full read after a loss of history does the same.

FormerOwnerStartsJobsOfItsSuccessor fails on the code before (the job is taken into the table) and passes now.

--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -215,7 +215,7 @@
     std::string cancelPrefix = kCancelPrefix;
     if (entry.key.compare(0, cancelPrefix.size(), cancelPrefix) == 0)
         applyCancellation(state, entry.key.substr(cancelPrefix.size()), now, actions);
-    else
+    else if (entry.key != kQueueEpochKey)
         applyJobEntry(state, entry, now, actions);
 }
 
--- a/src/cell/Keys.h
+++ b/src/cell/Keys.h
@@ -15,6 +15,8 @@
 /// Written by each commit of the lane with this number; its revision is a condition of the lane's next commit.
 constexpr const char* kCommitPrefix = "u/commit/";
 constexpr const char* kQueuePrefix = "q/"; ///< Jobs and cancellations; watched by the owner.
+/// The latest fencing token again: the queue's watch tells an owner of its successor before any job stored later.
+constexpr const char* kQueueEpochKey = "q/epoch";
 constexpr const char* kJobPrefix = "q/j/"; ///< Records of jobs that have not ended.
 constexpr const char* kCancelPrefix = "q/c/"; ///< Cancellations of jobs that have not ended.
 constexpr const char* kProgressPrefix = "p/"; ///< Task progress of jobs that have not ended.
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -145,7 +145,7 @@
     std::int64_t token = membership.epoch + 1;
     StoreChange command;
     command.conditions = { { kEpochKey, membership.epochRevision }, { kOwnerKey, membership.ownerRevision } };
-    command.puts = { { kEpochKey, std::to_string(token), 0 }, makeOwnerPut(state, token) };
+    command.puts = { { kEpochKey, std::to_string(token), 0 }, { kQueueEpochKey, std::to_string(token), 0 }, makeOwnerPut(state, token) };
     auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
         if (s.ownership.phase != OwnerPhase::Acquiring)
             return;
@@ -248,8 +248,22 @@
     readQueueForRecovery(state, actions);
 }
 
+/// Gives the cell up if the queue holds a later token. The jobs stored since then are the successor's.
+static bool losesToSuccessor(CellState& state, const StoreReply& reply, CellActions& actions)
+{
+    std::int64_t token = state.ownership.token;
+    bool hasSuccessor = std::any_of(reply.entries.begin(), reply.entries.end(), [token](const StoreEntry& it) {
+        return it.key == kQueueEpochKey && std::atoll(it.value.c_str()) > token;
+    });
+    if (hasSuccessor)
+        loseOwnership(state, "the job queue holds a later token", actions);
+    return hasSuccessor;
+}
+
 static void handleQueueChanges(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
 {
+    if (losesToSuccessor(state, reply, actions))
+        return;
     for (const StoreEntry& entry : reply.entries)
         applyQueueEntry(state, entry, now, actions);
     state.ownership.watchRevision = std::max(state.ownership.watchRevision, reply.revision);
@@ -276,9 +290,8 @@
             return;
         s.ownership.watch = 0;
         s.ownership.nextWatch = at.steady + (reply.status == StoreStatus::Ok ? Duration(0) : kRetryInterval);
-        if (reply.status != StoreStatus::Ok)
-            return;
-        applyQueue(s, reply, at, out);
+        if (reply.status == StoreStatus::Ok && !losesToSuccessor(s, reply, out))
+            applyQueue(s, reply, at, out);
     };
     listKeys(state, kQueuePrefix, then, actions);
 }
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -6,6 +6,8 @@
 
 #include "src/cell/Entry.h"
 #include "src/cell/Jobs.h"
+#include "src/cell/Keys.h"
+#include "src/cell/RecordCodec.h"
 #include "tests/emulator/CellEmulator.h"
 
 namespace crocuslever::cell::testing {
@@ -325,6 +327,30 @@
     BOOST_CHECK_EQUAL(startsOf(1), 1);
 }
 
+// A former owner started jobs that its watch had told it of, and their owner started them as well.
+BOOST_AUTO_TEST_CASE(FormerOwnerStartsJobsOfItsSuccessor)
+{
+    Instant now { TimePoint(std::chrono::seconds(100)), 1000000 };
+    CellSettings settings;
+    settings.instance = "i0";
+    CellState state(settings, StoreFormat { [](const std::vector<StoreEntry>&) { return Declarations {}; }, [](const std::vector<StoreEntry>&) { return Directory {}; } });
+    state.ownership.phase = OwnerPhase::Deciding;
+    state.ownership.token = 4;
+    state.membership.ownerInstance = "i0";
+    CellActions actions;
+    tick(state, now, actions);
+    auto watch = std::find_if(actions.begin(), actions.end(), [](const CellAction& it) { return std::holds_alternative<StoreAwait>(it); });
+    BOOST_REQUIRE(watch != actions.end());
+    StoreReply reply;
+    reply.ticket = std::get<StoreAwait>(*watch).ticket;
+    reply.status = StoreStatus::Ok;
+    JobRecord job { jobId(1), "route", "team", now.wallMs, makeJob(makeScript(500), { makeStep(1, 1000) }) };
+    reply.entries = { { kQueueEpochKey, "5", 30 }, { jobKey(job.id), encodeJob(job), 31 } };
+    handleEvent(state, reply, now, actions);
+    BOOST_CHECK(state.jobs.empty());
+    BOOST_CHECK(state.ownership.phase == OwnerPhase::None);
+}
+
 BOOST_FIXTURE_TEST_CASE(RunsGoOnWhileTheStoreIsDown, Fixture)
 {
     emulator.submit(jobId(1), makeJob(makeScript(2000), { makeStep(4, 1000) }), other());
