Number runs above those of all earlier owners

Cause: a run's number followed from the runs that the job's record and the upstreams' lists show. A gang that runs on an upstream which drains and leaves around a succession is shown by neither, so that the successor started it as run 1 once more. Numbers have to rise: members of a run that has ended join no new one, and orders of the first run 1 may still be on their way.

Class: state that is taken to be absent because no reachable party shows it.

Each owner now has a range of numbers of its own, by its token.

--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -339,7 +339,7 @@
             return false;
         }
         --it->fits;
-        RunRow run = makeRun(state, candidate, keyOf(candidate, indexes[i]), task.run + 1, *it->upstream, now.steady);
+        RunRow run = makeRun(state, candidate, keyOf(candidate, indexes[i]), nextRunNumber(state, task.run), *it->upstream, now.steady);
         startTask(state, candidate, run, *it->upstream, now, actions);
     }
     return true;
@@ -362,12 +362,12 @@
     return {};
 }
 
-static int nextGangRun(const StepRow& row)
+static int latestRun(const StepRow& row)
 {
     int run = 0;
     for (const TaskRow& task : row.tasks)
         run = std::max(run, task.run);
-    return run + 1;
+    return run;
 }
 
 /// The checkpoint of any member is valid for the whole gang.
@@ -402,7 +402,7 @@
         preemptFor(state, candidate, count, pass, now, actions);
         return false;
     }
-    int run = nextGangRun(row);
+    int run = nextRunNumber(state, latestRun(row));
     std::string checkpoint = gangCheckpoint(row);
     // Using few upstreams lowers the chance that one of them fails and ends the gang.
     std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) { return a.fits > b.fits; });
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -1,6 +1,7 @@
 #include "src/cell/Runs.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "src/cell/Jobs.h"
 #include "src/cell/Latency.h"
@@ -13,6 +14,8 @@
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(60);
 /// After this many unanswered start orders, a stop order keeps the run from starting later.
 static constexpr int kMaxStartOrders = 3;
+/// Starts of one task by one owner. A task of which more are needed runs on in the next owner's range.
+static constexpr int kRunNumbersPerOwner = 10000;
 /// An upstream that refused an order or did not answer gets no new runs for this long.
 static constexpr Duration kUpstreamBackoff = std::chrono::milliseconds(500);
 
@@ -64,6 +67,14 @@
     return "no answer";
 }
 
+/// An owner does not learn of runs that ended on an upstream which is gone. So each owner has its own range of numbers.
+int nextRunNumber(const CellState& state, int latest)
+{
+    constexpr std::int64_t kRanges = std::numeric_limits<int>::max() / kRunNumbersPerOwner;
+    std::int64_t first = (state.ownership.token - 1) % kRanges * kRunNumbersPerOwner;
+    return std::max(latest, static_cast<int>(first)) + 1;
+}
+
 static void addToPreemptible(RoomUse& use, const RunRow& run, const Resources& amount)
 {
     if (run.isPreemptible)
--- a/src/cell/Runs.h
+++ b/src/cell/Runs.h
@@ -17,6 +17,9 @@
 void stopRunsOf(CellState&, const std::string& job, const Instant& now, CellActions&);
 /// Stops all runs of the gang that the task belongs to.
 void stopGang(CellState&, const TaskKey&, const Instant& now, CellActions&);
+/// Number of a run that starts now: above `latest`, and above all that earlier owners may have used.
+int nextRunNumber(const CellState&, int latest);
+
 /// Forgets a run and releases its room.
 void removeRun(CellState&, UpstreamRow&, const std::string& task);
 /// Removes a run and applies its end to the task's job.
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -351,6 +351,24 @@
     BOOST_CHECK(state.ownership.phase == OwnerPhase::None);
 }
 
+// A successor started a gang under the run number of a run that had ended on an upstream that was gone.
+BOOST_FIXTURE_TEST_CASE(SuccessorUsesARunNumberAgain, Fixture)
+{
+    StepSpec gang = makeStep(2, 1000);
+    gang.gang = true;
+    emulator.submit(jobId(1), makeJob(makeScript(3000), { gang }), other());
+    emulator.runFor(std::chrono::seconds(1));
+    emulator.kill(owner());
+    for (const std::string& id : emulator.upstreamIds())
+        emulator.crashUpstream(id);
+    BOOST_CHECK(waitFor(1, JobState::Completed, std::chrono::seconds(20), owner()));
+    std::set<std::pair<std::string, int>> numbers;
+    for (const RunRecord& run : emulator.history())
+        BOOST_CHECK_MESSAGE(numbers.emplace(run.task, run.run).second, run.task << " was started again as run " << run.run);
+    BOOST_CHECK_EQUAL(startsOf(1), 4);
+    checkRules();
+}
+
 BOOST_FIXTURE_TEST_CASE(RunsGoOnWhileTheStoreIsDown, Fixture)
 {
     emulator.submit(jobId(1), makeJob(makeScript(2000), { makeStep(4, 1000) }), other());
--- a/tests/emulator/RuleChecker.cpp
+++ b/tests/emulator/RuleChecker.cpp
@@ -32,6 +32,17 @@
     }
 }
 
+/// An order may reach two incarnations of one upstream; any other start of a task has a number of its own.
+static void checkNumbers(const std::vector<const RunRecord*>& runs, std::vector<std::string>& violations)
+{
+    std::map<int, std::string> upstreams;
+    for (const RunRecord* run : runs) {
+        auto [it, isNew] = upstreams.emplace(run->run, run->upstream);
+        if (!isNew && it->second != run->upstream)
+            violations.push_back("NUMBER: " + describe(*run) + " was started on " + it->second + " under the same number");
+    }
+}
+
 static void checkAttempts(const std::vector<const RunRecord*>& runs, int attempts, std::vector<std::string>& violations)
 {
     int failed = 0;
@@ -140,6 +151,7 @@
         }
         std::sort(runs.begin(), runs.end(), [](const RunRecord* a, const RunRecord* b) { return a->from < b->from; });
         checkOverlap(runs, violations);
+        checkNumbers(runs, violations);
         checkAttempts(runs, emulator.policy().routes.front().attempts, violations);
         checkCancel(runs, job->second, violations);
         checkOrder(emulator, *runs.front(), violations);
