Wait no longer for the lease of a former owner that has restarted

Cause: while an upstream cannot be asked for its runs, a successor waits for the leases that earlier owners may have given, 5 s, and for 6 s more in which the former owner may still order. It left the 6 s out if that instance's next incarnation was listed at the succession, but did not look again: here it was listed 0.5 s later.

The owner now looks until the runs are accounted for. Earlier owners than the last may have ordered for 6 s after the last one acquired, so the wait ends no sooner than that. leaseEndAfter() serves both files; the clock's factor stood twice.

JobsWaitForARestartedOwner (started within 6 s of the restart) fails on the code before and passes now.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -227,6 +227,8 @@
     bool restoringOwnerKey { false }; ///< The owner key is being written again under a new lease.
     std::string predecessor; ///< Name of the previous owner; empty: unknown.
     std::string predecessorIncarnation;
+    TimePoint predecessorSince; ///< When this instance first saw the previous owner's token.
+    bool isPredecessorGone { false }; ///< The previous owner's process has ended, so that it sends no more orders.
     TimePoint earlierRunsEnd; ///< Leases of all runs started by earlier owners have expired by then.
     int readsLeft { 0 }; ///< Outstanding reads of the recovery.
     bool areEarlierRunsKnown { false }; ///< Every run started by an earlier owner is known or has ended.
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -20,8 +20,6 @@
 static constexpr Duration kWatchPause = std::chrono::milliseconds(150);
 static constexpr Duration kNoticeLifetime = std::chrono::seconds(10);
 static constexpr int kRecoveryReads = 3; ///< Known upstreams, queue and progress.
-/// Seconds of our clock that a second of an upstream's clock may last.
-static constexpr double kMaxClockSlowdown = 1.03;
 
 bool isOwner(const CellState& state)
 {
@@ -101,8 +99,10 @@
         ownership.nextAttempt = now.steady + fromMilliseconds(static_cast<std::int64_t>(randomBelow(state, kAcquireJitterMs)));
     }
     if (!owner.instance.empty()) {
-        if (owner.token != membership.ownerToken)
+        if (owner.token != membership.ownerToken) {
             membership.skipOwnerUntil = {};
+            ownership.predecessorSince = now.steady;
+        }
         ownership.predecessor = owner.instance;
         ownership.predecessorIncarnation = owner.incarnation;
         membership.ownerToken = owner.token;
@@ -241,9 +241,9 @@
 {
     Ownership& ownership = state.ownership;
     ownership.readsLeft = kRecoveryReads;
-    bool isPredecessorGone = ownership.predecessor.empty() || isRestarted(state, ownership.predecessor, ownership.predecessorIncarnation);
-    Duration wait = state.settings.runLease + (isPredecessorGone ? Duration(0) : state.settings.ownerLeaseTimeout);
-    ownership.earlierRunsEnd = now.steady + std::chrono::duration_cast<Duration>(wait * kMaxClockSlowdown);
+    ownership.isPredecessorGone = ownership.predecessor.empty() || isRestarted(state, ownership.predecessor, ownership.predecessorIncarnation);
+    Duration ordersEnd = ownership.isPredecessorGone ? Duration(0) : state.settings.ownerLeaseTimeout;
+    ownership.earlierRunsEnd = leaseEndAfter(now.steady, ordersEnd + state.settings.runLease);
     readForRecovery(state, kUpstreamsKey, applyKnownUpstreams, actions);
     readQueueForRecovery(state, actions);
 }
@@ -339,6 +339,19 @@
     sendChange(state, std::move(command), then, actions);
 }
 
+/// Waits no longer for the lease of a previous owner that turns out to have restarted. Owners before it may
+/// have sent orders for ownerLeaseTimeout after it acquired the cell.
+static void checkPredecessor(CellState& state, const Instant& now, CellActions& actions)
+{
+    Ownership& ownership = state.ownership;
+    if (ownership.isPredecessorGone || ownership.areEarlierRunsKnown || !isRestarted(state, ownership.predecessor, ownership.predecessorIncarnation))
+        return;
+    ownership.isPredecessorGone = true;
+    TimePoint ordersEnd = std::max(now.steady, ownership.predecessorSince + state.settings.ownerLeaseTimeout);
+    ownership.earlierRunsEnd = std::min(ownership.earlierRunsEnd, leaseEndAfter(ordersEnd, state.settings.runLease));
+    logMessage(actions, LogLevel::Info, "ownership", ownership.predecessor, "", "the previous owner has restarted; leases of earlier runs expire within " + std::to_string(toMilliseconds(ownership.earlierRunsEnd - now.steady)) + " ms");
+}
+
 static bool isOwnerKeyMissing(const CellState& state)
 {
     return state.membership.ownerInstance != state.settings.instance;
@@ -350,6 +363,7 @@
     Membership& membership = state.membership;
     if (isOwner(state)) {
         watchQueue(state, now, actions);
+        checkPredecessor(state, now, actions);
         if (isOwnerKeyMissing(state) && membership.registered && !ownership.restoringOwnerKey)
             restoreOwnerKey(state, actions);
         return;
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -59,8 +59,7 @@
     return upstream.clockMs + toMilliseconds(now - upstream.clockAt + state.settings.runLease);
 }
 
-/// When a lease has certainly expired, even if the upstream's clock is slow.
-static TimePoint leaseEndAfter(TimePoint from, Duration lease)
+TimePoint leaseEndAfter(TimePoint from, Duration lease)
 {
     return from + std::chrono::duration_cast<Duration>(lease * kMaxClockSlowdown) + kLeaseMargin;
 }
--- a/src/cell/Upstreams.h
+++ b/src/cell/Upstreams.h
@@ -22,6 +22,8 @@
 /// True if new runs may be placed on the upstream. Ignores room.
 bool acceptsWork(const CellState&, const UpstreamRow&, TimePoint now);
 
+/// When a run lease given at `from` has certainly expired, even if the upstream's clock is slow.
+TimePoint leaseEndAfter(TimePoint from, Duration lease);
 /// Expiry of a run lease given now, in ms on the upstream's clock; 0 if that clock is not known.
 std::int64_t leaseUntil(const CellState&, const UpstreamRow&, TimePoint now);
 /// Records that a lease until `untilMs` on the upstream's clock was sent.
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -369,6 +369,30 @@
     checkRules();
 }
 
+// Jobs waited for the lease of a former owner that was known to have restarted.
+BOOST_FIXTURE_TEST_CASE(JobsWaitForARestartedOwner, Fixture)
+{
+    emulator.runFor(CellSettings {}.ownerLeaseTimeout);
+    StepSpec second = makeStep(1, 1000);
+    second.after = { 0 };
+    emulator.submit(jobId(1), makeJob(makeScript(2500), { makeStep(1, 1000), second }), other());
+    emulator.runFor(std::chrono::seconds(1));
+    std::size_t former = owner();
+    auto isFirst = [](const RunRecord& run) { return parseTaskKey(run.task)->job == jobId(1); };
+    std::string running = std::find_if(emulator.history().begin(), emulator.history().end(), isFirst)->upstream;
+    std::vector<std::string> ids = emulator.upstreamIds();
+    std::string unreachable = *std::find_if(ids.begin(), ids.end(), [&running](const std::string& id) { return id != running; });
+    emulator.cutUpstream(unreachable, true);
+    emulator.kill(former);
+    BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(6), [&] { return emulator.owner().has_value(); }));
+    emulator.restart(former);
+    TimePoint restartedAt = emulator.now();
+    BOOST_CHECK(emulator.runUntil(std::chrono::seconds(20), [&] { return startsOf(1) == 2; }));
+    constexpr Duration kMaxWait = std::chrono::milliseconds(6000); ///< Lease of a run, and the time to learn of the restart.
+    BOOST_CHECK(emulator.now() - restartedAt <= kMaxWait);
+    checkRules();
+}
+
 BOOST_FIXTURE_TEST_CASE(RunsGoOnWhileTheStoreIsDown, Fixture)
 {
     emulator.submit(jobId(1), makeJob(makeScript(2000), { makeStep(4, 1000) }), other());
