Leave a vacant cell to larger instances after an outage, too

Cause: smaller instances leave a vacant cell to larger ones that the store has listed within a second. It hid behind the overload of large owners.

An instance now counts the instances that it remembers (10 s), and until it has listed for so long, the largest share that an acquisition has stored (c/largest). The wait for larger ones is 1 s, longer than a store call that times out, so that the former owner can restore its key first. In a cell that never had an owner all wait for 450 ms, to see each other.

SmallInstanceOwnsCellAfterOutage fails on the code before (owner 1, not 0).

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -198,6 +198,8 @@
         TimePoint lastSeen; ///< Time of the latest store listing that held it.
     };
     std::map<std::string, Instance> instances; ///< By name; includes this instance.
+    TimePoint firstListedAt; ///< Time of the first successful listing.
+    std::int64_t largestMilliCpu { 0 }; ///< Processor share of the fleet's largest instance, as an owner stored it.
     std::string ownerInstance;
     std::string ownerAddress; ///< Empty: the cell has no owner.
     std::int64_t ownerToken { 0 };
--- a/src/cell/Keys.h
+++ b/src/cell/Keys.h
@@ -10,6 +10,8 @@
 constexpr const char* kCellPrefix = "c/"; ///< Holds the owner, epoch and instance keys.
 constexpr const char* kEpochKey = "c/epoch"; ///< The latest fencing token, in decimal.
 constexpr const char* kOwnerKey = "c/owner"; ///< The owner's record; attached to the owner's lease.
+/// Processor share of the largest instance of the fleet, as of the latest acquisition. Outlasts all leases.
+constexpr const char* kLargestInstanceKey = "c/largest";
 constexpr const char* kInstancePrefix = "c/i/"; ///< Instance records; each is attached to the instance's lease.
 constexpr const char* kUpstreamsKey = "u/known"; ///< Record of the upstreams that may run tasks of the cell.
 /// Written by each commit of the lane with this number; its revision is a condition of the lane's next commit.
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -10,8 +10,6 @@
 static constexpr Duration kRenewalInterval = std::chrono::milliseconds(350);
 static constexpr Duration kListInterval = std::chrono::milliseconds(300);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(150);
-/// How long an instance missing from the store is remembered; a store outage may have ended its lease.
-static constexpr Duration kInstanceRetention = std::chrono::seconds(10);
 
 static void handleRegistered(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
 {
@@ -98,6 +96,8 @@
     }
     membership.nextList = now.steady + kListInterval;
     membership.listedAt = now.steady;
+    if (membership.firstListedAt == TimePoint())
+        membership.firstListedAt = now.steady;
     std::optional<OwnerRecord> owner;
     for (const StoreEntry& entry : reply.entries) {
         if (entry.key == kEpochKey) {
@@ -107,6 +107,8 @@
             owner = decodeOwner(entry.value);
             if (owner)
                 owner->revision = entry.modRevision;
+        } else if (entry.key == kLargestInstanceKey) {
+            membership.largestMilliCpu = decodeProcessorShare(entry.value);
         } else {
             applyInstanceEntry(state, entry, now.steady);
         }
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -4,6 +4,7 @@
 
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
+#include "src/cell/Membership.h"
 #include "src/cell/StoreCalls.h"
 #include "src/cell/Upstreams.h"
 
@@ -12,8 +13,10 @@
 /// An instance acts only on a list of the store's instances that is younger than this.
 static constexpr Duration kMaxListAge = std::chrono::milliseconds(1000);
 static constexpr std::uint64_t kAcquireJitterMs = 60; ///< Jitter, so that candidates do not all write at once.
-/// Smaller instances wait this long before they acquire a vacant cell.
-static constexpr Duration kLargerInstanceHeadStart = std::chrono::milliseconds(600);
+/// Smaller instances wait this long before they acquire a vacant cell. Outlasts a store call that times out.
+static constexpr Duration kLargerInstanceHeadStart = std::chrono::milliseconds(1000);
+/// Wait of all instances before one acquires a cell that never had an owner, to see the other instances.
+static constexpr Duration kDiscoveryWait = std::chrono::milliseconds(450);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
 static constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
 /// Instances notify the owner of what they store, so the watch only has to cover lost notices.
@@ -118,18 +121,35 @@
         membership.vacantSince = now.steady;
 }
 
+/// True once this instance has seen all others, apart from those that are away.
+static bool knowsAllInstances(const CellState& state, TimePoint now) { return now - state.membership.firstListedAt >= kInstanceRetention; }
+
+/// Processor share of the fleet's largest instance. After a loss of all leases, or a restart of all instances,
+/// the store lists none of them, so that what an owner stored counts until this instance knows the others.
+static std::int64_t largestShare(const CellState& state, TimePoint now)
+{
+    const Membership& membership = state.membership;
+    std::int64_t largest = std::max(state.settings.milliCpu, knowsAllInstances(state, now) ? 0 : membership.largestMilliCpu);
+    for (const auto& [name, instance] : membership.instances)
+        largest = std::max(largest, instance.milliCpu);
+    return largest;
+}
+
+/// How long this instance leaves a vacant cell to larger instances.
+static Duration headStartOfOthers(const CellState& state, TimePoint now)
+{
+    if (largestShare(state, now) > state.settings.milliCpu)
+        return kLargerInstanceHeadStart;
+    bool isNewCell = state.membership.largestMilliCpu == 0 && !knowsAllInstances(state, now);
+    return isNewCell ? kDiscoveryWait : Duration(0);
+}
+
 /// True while a larger instance should acquire the cell first. The owner does most
 /// of the work, so a small processor share would make it the bottleneck of a large cell.
 static bool yieldsToLargerInstance(const CellState& state, TimePoint now)
 {
     const Membership& membership = state.membership;
-    bool isWaitOver = membership.vacantSince && now >= *membership.vacantSince + kLargerInstanceHeadStart;
-    if (isWaitOver)
-        return false;
-    return std::any_of(membership.instances.begin(), membership.instances.end(), [&](const auto& item) {
-        const Membership::Instance& other = item.second;
-        return other.milliCpu > state.settings.milliCpu && now - other.lastSeen < kMaxListAge;
-    });
+    return membership.vacantSince && now < *membership.vacantSince + headStartOfOthers(state, now);
 }
 
 static StorePut makeOwnerPut(const CellState& state, std::int64_t token)
@@ -138,14 +158,14 @@
     return { kOwnerKey, encodeOwner(record), state.membership.lease };
 }
 
-static void acquire(CellState& state, CellActions& actions)
+static void acquire(CellState& state, TimePoint now, CellActions& actions)
 {
     Membership& membership = state.membership;
     state.ownership.phase = OwnerPhase::Acquiring;
     std::int64_t token = membership.epoch + 1;
     StoreChange command;
     command.conditions = { { kEpochKey, membership.epochRevision }, { kOwnerKey, membership.ownerRevision } };
-    command.puts = { { kEpochKey, std::to_string(token), 0 }, { kQueueEpochKey, std::to_string(token), 0 }, makeOwnerPut(state, token) };
+    command.puts = { { kEpochKey, std::to_string(token), 0 }, { kQueueEpochKey, std::to_string(token), 0 }, { kLargestInstanceKey, encodeProcessorShare(largestShare(state, now)), 0 }, makeOwnerPut(state, token) };
     auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
         if (s.ownership.phase != OwnerPhase::Acquiring)
             return;
@@ -371,7 +391,7 @@
     bool isListFresh = membership.listedAt != TimePoint() && now.steady - membership.listedAt < kMaxListAge;
     bool mayAcquire = ownership.phase == OwnerPhase::None && membership.registered && isListFresh && (membership.ownerAddress.empty() || membership.isOwnerRestarted);
     if (mayAcquire && !state.stopping && now.steady >= ownership.nextAttempt && !yieldsToLargerInstance(state, now.steady))
-        acquire(state, actions);
+        acquire(state, now.steady, actions);
 }
 
 void releaseOwnership(CellState& state, const Instant&, CellActions& actions)
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -1,11 +1,15 @@
 #include "src/cell/RecordCodec.h"
 
+#include <charconv>
+
 #include "cell.pb.h"
 
 namespace crocuslever::cell {
 
 namespace wire = crocuslever::cellwire;
 
+static constexpr char kMilliSuffix = 'm';
+
 static void encodeStep(const StepSpec& step, wire::Step& out)
 {
     out.set_count(step.count);
@@ -134,6 +138,17 @@
     return OwnerRecord { in.instance(), in.address(), in.incarnation(), in.token(), 0 };
 }
 
+std::string encodeProcessorShare(std::int64_t milliCpu) { return std::to_string(milliCpu) + kMilliSuffix; }
+
+std::int64_t decodeProcessorShare(const std::string& text)
+{
+    std::int64_t milliCpu = 0;
+    const char* end = text.data() + text.size();
+    std::from_chars_result parsed = std::from_chars(text.data(), end, milliCpu);
+    bool isValid = parsed.ec == std::errc() && milliCpu > 0 && parsed.ptr + 1 == end && *parsed.ptr == kMilliSuffix;
+    return isValid ? milliCpu : 0;
+}
+
 std::string encodeInstance(const InstanceRecord& instance)
 {
     wire::Instance out;
--- a/src/cell/RecordCodec.h
+++ b/src/cell/RecordCodec.h
@@ -36,6 +36,11 @@
     std::int64_t milliCpu { 0 }; ///< Processor share of the instance.
 };
 
+/// The share as text, like "500m".
+std::string encodeProcessorShare(std::int64_t milliCpu);
+/// 0 if the text is malformed.
+std::int64_t decodeProcessorShare(const std::string& text);
+
 std::string encodeInstance(const InstanceRecord&);
 std::optional<InstanceRecord> decodeInstance(const std::string& bytes);
 
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -248,6 +248,35 @@
     }
 }
 
+// After all leases had lapsed, or all processes were killed, a small instance acquired the cell and was overloaded.
+BOOST_AUTO_TEST_CASE(SmallInstanceOwnsCellAfterOutage)
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.instances = 9;
+            settings.largeInstances = 1;
+            settings.seed = seed;
+            Fixture fixture(settings);
+            CellEmulator& emulator = fixture.emulator;
+            BOOST_REQUIRE_EQUAL(fixture.owner(), 0u);
+            emulator.setStoreDown(true);
+            emulator.runFor(std::chrono::seconds(5));
+            emulator.setStoreDown(false);
+            emulator.runFor(std::chrono::seconds(3));
+            BOOST_CHECK_EQUAL(fixture.owner(), 0u);
+            for (std::size_t n = 0; n < 9; ++n)
+                emulator.kill(n);
+            emulator.runFor(std::chrono::seconds(2));
+            for (std::size_t n = 9; n-- > 0;)
+                emulator.restart(n);
+            emulator.runFor(std::chrono::seconds(3));
+            BOOST_CHECK_EQUAL(fixture.owner(), 0u);
+        }
+    }
+}
+
 // All processes are restarted at once. The cell must get an owner before the lease of the previous
 // incarnation expires.
 BOOST_FIXTURE_TEST_CASE(RestartedOwnerIsReplacedBeforeLeaseExpiry, Fixture)
