--- /dev/null
+++ b/tests/CellLoadTest.cpp
@@ -0,0 +1,110 @@
+// A cell in overload on the emulator: work whose cost must not grow with the backlog.
+
+#include <boost/test/unit_test.hpp>
+
+#include "src/cell/Jobs.h"
+#include "tests/CellFixture.h"
+
+namespace crocuslever::cell::testing {
+
+BOOST_AUTO_TEST_SUITE(CellLoadTest)
+
+// Callers did not learn for seconds that their jobs were done, as their ends waited to be stored.
+BOOST_AUTO_TEST_CASE(DoneJobsWaitToBeStored)
+{
+    constexpr int kJobsPerSecond = 100;
+    constexpr int kSeconds = 5;
+    EmulatorSettings settings;
+    settings.upstreams = 40;
+    settings.capacity = { 64000, 256000, 0, 0 };
+    settings.storeDelay = std::chrono::milliseconds(150);
+    CellFixture fixture(settings);
+    CellEmulator& emulator = fixture.emulator;
+    StepSpec second = makeStep(2, 1000);
+    second.after = { 0 };
+    std::size_t owner = fixture.owner();
+    for (int n = 1; n <= kJobsPerSecond * kSeconds; ++n) {
+        emulator.submit(jobId(n), makeJob(makeScript(200 + n % 300), { makeStep(2, 1000), second }), fixture.other());
+        emulator.runFor(std::chrono::milliseconds(1000 / kJobsPerSecond));
+        std::int64_t unstored = std::count_if(emulator.core(owner).jobs.begin(), emulator.core(owner).jobs.end(), [](const auto& item) { return item.second.ended.has_value(); });
+        BOOST_REQUIRE_LE(unstored, kJobsPerSecond);
+    }
+    emulator.runFor(std::chrono::milliseconds(2000));
+    for (int n = 1; n <= kJobsPerSecond * kSeconds; ++n)
+        BOOST_CHECK(fixture.isIn(n, JobState::Completed, owner));
+    fixture.checkRules();
+}
+
+// While some changes waited to be stored, no end of any job was acknowledged.
+BOOST_AUTO_TEST_CASE(EndsStayUnacknowledgedWhileOthersAreStored)
+{
+    EmulatorSettings settings;
+    settings.upstreams = 40;
+    settings.capacity = { 64000, 256000, 0, 0 };
+    settings.storeDelay = std::chrono::milliseconds(150);
+    CellFixture fixture(settings);
+    CellEmulator& emulator = fixture.emulator;
+    constexpr std::int64_t kMaxPending = 600; ///< Ends of two seconds.
+    std::size_t owner = fixture.owner();
+    for (int n = 1; n <= 500; ++n) {
+        emulator.submit(jobId(n), makeJob(makeScript(200 + n % 300), { makeStep(3, 1000) }), fixture.other());
+        emulator.runFor(std::chrono::milliseconds(10));
+        std::int64_t pending = 0;
+        for (const auto& [id, upstream] : emulator.core(owner).upstreams)
+            pending += upstream.lastEnd - upstream.acknowledged;
+        BOOST_REQUIRE_LE(pending, kMaxPending);
+    }
+    fixture.checkRules();
+}
+
+// Placement took most of the owner's time while many steps waited, which kept it from all other work.
+BOOST_AUTO_TEST_CASE(PlacementTakesTheOwnersTimeInOverload)
+{
+    EmulatorSettings settings;
+    settings.upstreams = 350;
+    settings.capacity = { 64000, 256000, 0, 0 };
+    settings.largeInstances = 3;
+    settings.goodAdvice = 0;
+    CellFixture fixture(settings);
+    CellEmulator& emulator = fixture.emulator;
+    emulator.policy().routes.front().advice = AdviceTiming { std::chrono::milliseconds(9), std::chrono::microseconds(130), std::chrono::milliseconds(2000) };
+    emulator.policy().routes.front().targetDuration = std::chrono::seconds(30);
+    ++emulator.policy().version;
+    emulator.runFor(std::chrono::seconds(1));
+    for (int n = 100; n < 400; ++n)
+        emulator.submit(jobId(n), makeJob(makeScript(500), { makeStep(3, 20000) }), fixture.other());
+    std::int64_t before = emulator.core(fixture.owner()).examinedPairs;
+    constexpr int kSeconds = 5;
+    emulator.runFor(std::chrono::seconds(kSeconds));
+    // A fifth of the processor share of 0.5 cores, at about 40 ns a pair.
+    constexpr std::int64_t kMaxPairsPerSecond = 2500000;
+    BOOST_CHECK_LE(emulator.core(fixture.owner()).examinedPairs - before, kSeconds * kMaxPairsPerSecond);
+    fixture.checkRules();
+}
+
+// Upstreams repeat unacknowledged ends in each answer. While the store is down and many ends wait,
+// polls have to slow down, or processing the answers would take all of the owner's time.
+BOOST_FIXTURE_TEST_CASE(UnstoredEndsAreListedRarely, CellFixture)
+{
+    constexpr int kTasks = 240;
+    constexpr int kSeconds = 3;
+    constexpr int kMaxListingsPerSecond = 5; ///< How often one end may be listed.
+    for (int n = 1; n <= kTasks / 24; ++n)
+        emulator.submit(jobId(n), makeJob(makeScript(50), { makeStep(24, 100) }), other());
+    emulator.runFor(std::chrono::milliseconds(20));
+    emulator.setStoreDown(true);
+    emulator.runFor(std::chrono::seconds(1));
+    std::int64_t before = emulator.endsListed();
+    emulator.runFor(std::chrono::seconds(kSeconds));
+    BOOST_CHECK_LE(emulator.endsListed() - before, kTasks * kSeconds * kMaxListingsPerSecond);
+    BOOST_CHECK_GT(emulator.endsListed() - before, kTasks);
+    emulator.setStoreDown(false);
+    emulator.runFor(std::chrono::seconds(3));
+    for (int n = 1; n <= kTasks / 24; ++n)
+        BOOST_CHECK(isIn(n, JobState::Completed, other()));
+    checkRules();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace crocuslever::cell::testing
