Remove a deleted job from the list of changed jobs

Cause: a job past its retention is marked for deletion once a second until the store has deleted it. If a deletion took over a second, the job was marked again, erased from the table by the answer, and the next commit looked it up and threw. The removal of a job stood twice, and one of the two forgot the mark.

Both now go through removeJob().

--- a/src/core/JobSteps.h
+++ b/src/core/JobSteps.h
@@ -19,6 +19,8 @@
 void finishJob(CoreState&, JobRow&, JobState, RefusalReason, const Instant& now);
 /// True if the latest version of the record is known to be in the store.
 bool isDurable(const JobRow&);
+/// Removes the job from the table and from all indexes.
+void removeJob(CoreState&, JobRow&);
 
 /// Adds the job to, or removes it from, its team's queue of jobs that need reservations.
 void enqueueForReservation(CoreState&, JobRow&);
--- a/src/core/JobStore.cpp
+++ b/src/core/JobStore.cpp
@@ -79,10 +79,8 @@
 {
     for (const JobId& id : purpose.deletedJobs) {
         auto it = state.jobs.find(id);
-        if (it == state.jobs.end())
-            continue;
-        state.jobSchedule.due.erase({ it->second.dueAt, id });
-        state.jobs.erase(it);
+        if (it != state.jobs.end())
+            removeJob(state, it->second);
     }
 }
 
--- a/src/core/Jobs.cpp
+++ b/src/core/Jobs.cpp
@@ -74,7 +74,7 @@
         [](const TaskRecord& task) { return task.assignment && !task.ended; });
 }
 
-static void removeJob(CoreState& state, JobRow& job)
+void removeJob(CoreState& state, JobRow& job)
 {
     for (const JobRow::TaskProgress& progress : job.progress) {
         if (!progress.requestedAttempt.isEmpty())
