Split placement by what is decided

Placement.cpp (532 lines) held the order of the candidates, the search for places, the bound on the largest room and the pass itself. Candidate, Place and LargestRoom are files of their own now, and LargestRoom is a plain struct with free functions like the rest. No decision changes: the code is moved, and the search for places to preempt on stands beside the search for free ones.

--- /dev/null
+++ b/src/cell/Candidate.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <tuple>
+#include <vector>
+
+#include "src/cell/CellState.h"
+
+namespace crocuslever::cell {
+
+/// Whether a job that starts now can meet its objective. The order is that of placement.
+enum class Timeliness {
+    InTime, ///< It can still meet its objective.
+    Late,
+    Useless, ///< Too late to be of any use.
+};
+
+/// A step with tasks to place, and its sort key. Its pointers are valid for one placement pass.
+struct Candidate {
+    JobRow* job { nullptr };
+    const Route* route { nullptr };
+    TaskKey step; ///< `index` is unused.
+    Timeliness timeliness { Timeliness::InTime };
+    int priority { 0 };
+    std::int64_t acceptedMs { 0 };
+
+    bool operator<(const Candidate& other) const
+    {
+        return std::tie(timeliness, priority, acceptedMs, step) < std::tie(other.timeliness, other.priority, other.acceptedMs, other.step);
+    }
+};
+
+/// The steps with tasks to place, in the order of placement: what can meet its objective first, then by
+/// priority, then by age.
+std::vector<Candidate> collectCandidates(CellState&, const Instant& now);
+
+StepRow& rowOf(const Candidate&);
+const StepSpec& specOf(const Candidate&);
+/// Indexes of the step's tasks that may start now.
+std::vector<int> waitingTasks(const Candidate&, TimePoint now);
+
+} // namespace crocuslever::cell
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -3,9 +3,12 @@
 #include <algorithm>
 
 #include "src/cell/Advice.h"
+#include "src/cell/Candidate.h"
 #include "src/cell/Fit.h"
 #include "src/cell/Jobs.h"
+#include "src/cell/LargestRoom.h"
 #include "src/cell/Ownership.h"
+#include "src/cell/Place.h"
 #include "src/cell/PlacementPass.h"
 #include "src/cell/Preemption.h"
 #include "src/cell/Runs.h"
@@ -33,156 +36,6 @@
 static constexpr Duration kReservationSlack = std::chrono::milliseconds(200);
 /// On/off interval of a limit reservation, and how long it outlasts the wait for the limit.
 static constexpr Duration kLimitReserve = std::chrono::seconds(2);
-/// A job older than this many times its objective is of no use to its submitter.
-static constexpr double kMaxObjectiveMultiple = 3.0;
-
-namespace {
-
-/// Whether a job that starts now can meet its objective. The order is that of placement.
-enum class Timeliness {
-    InTime, ///< It can still meet its objective.
-    Late,
-    Useless, ///< Too late to be of any use.
-};
-
-/// A step with tasks to place, and its sort key.
-struct Candidate {
-    JobRow* job { nullptr };
-    const Route* route { nullptr };
-    TaskKey step; ///< `index` is unused.
-    Timeliness timeliness { Timeliness::InTime };
-    int priority { 0 };
-    std::int64_t acceptedMs { 0 };
-
-    bool operator<(const Candidate& other) const
-    {
-        return std::tie(timeliness, priority, acceptedMs, step) < std::tie(other.timeliness, other.priority, other.acceptedMs, other.step);
-    }
-};
-
-/// An upstream with room for tasks of a step.
-struct Place {
-    UpstreamRow* upstream { nullptr };
-    int fits { 0 }; ///< Number of tasks that fit.
-    std::int64_t leftMilliCpu { 0 }; ///< Free processor share after one task was placed.
-    bool isNearData { false };
-};
-
-} // namespace
-
-static StepRow& rowOf(const Candidate& candidate)
-{
-    return candidate.job->occurrences[candidate.step.occurrence].steps[candidate.step.step];
-}
-
-static const StepSpec& specOf(const Candidate& candidate) { return specOf(*candidate.job, candidate.step); }
-
-/// Late jobs go last: in a full cell they would otherwise make every job behind
-/// them late as well.
-static Timeliness classifyTimeliness(const JobRow& job, const Route& route, std::int64_t wallMs)
-{
-    if (job.record.spec.occurrences > 0)
-        return Timeliness::InTime;
-    double criticalPathMs = static_cast<double>(toMilliseconds(job.estimatedCriticalPath));
-    double objectiveMs = route.stretch * criticalPathMs + static_cast<double>(toMilliseconds(route.targetDuration));
-    double ageMs = static_cast<double>(wallMs - job.record.acceptedMs);
-    if (ageMs > kMaxObjectiveMultiple * objectiveMs)
-        return Timeliness::Useless;
-    return job.hasStarted || ageMs + criticalPathMs <= objectiveMs ? Timeliness::InTime : Timeliness::Late;
-}
-
-/// True if an earlier owner may have started tasks of the job on an upstream that was not polled yet.
-static bool mayHaveUnknownRun(const CellState& state, const JobRow& job)
-{
-    return !state.ownership.areEarlierRunsKnown && job.revision <= state.ownership.epochRevision;
-}
-
-static void addCandidates(const CellState& state, JobRow& job, const Instant& now, std::vector<Candidate>& all)
-{
-    const Route* route = findRouteByName(*state.policy, job.record.route);
-    if (!route || job.ended || mayHaveUnknownRun(state, job))
-        return;
-    Timeliness timeliness = classifyTimeliness(job, *route, now.wallMs);
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        std::vector<StepRow>& steps = job.occurrences[k].steps;
-        for (std::size_t s = 0; s < steps.size(); ++s) {
-            int occurrence = static_cast<int>(k);
-            int step = static_cast<int>(s);
-            if (steps[s].waiting > 0 && isStepReady(state, job, occurrence, step, now.wallMs))
-                all.push_back({ &job, route, { job.record.id, occurrence, step, 0 }, timeliness, route->priority, job.record.acceptedMs });
-        }
-    }
-}
-
-static std::vector<Candidate> collectCandidates(CellState& state, const Instant& now)
-{
-    std::vector<Candidate> all;
-    for (const std::string& id : state.waitingJobs)
-        addCandidates(state, *findJob(state, id), now, all);
-    std::sort(all.begin(), all.end());
-    return all;
-}
-
-static int countOnUpstream(const UpstreamRow& upstream, const TaskKey& step)
-{
-    return static_cast<int>(std::count_if(upstream.runs.begin(), upstream.runs.end(), [&step](const auto& item) {
-        const TaskKey& key = item.second.task;
-        return key.job == step.job && key.occurrence == step.occurrence && key.step == step.step;
-    }));
-}
-
-static int capPerUpstream(const Candidate& candidate, const UpstreamRow& upstream, int n)
-{
-    const StepSpec& spec = specOf(candidate);
-    if (n > 0 && spec.maximumPerUpstream > 0)
-        n = std::min(n, spec.maximumPerUpstream - countOnUpstream(upstream, candidate.step));
-    return std::max(n, 0);
-}
-
-/// Visits the open upstreams on which tasks of the step may start at that time. Ignores room.
-/// Steps that need tickets have few such upstreams, and only those are examined.
-template <typename Visit>
-static void visitPlaces(CellState& state, const Candidate& candidate, const PlacementPass& pass, TimePoint at, Visit visit)
-{
-    const StepSpec& spec = specOf(candidate);
-    if (!candidate.route->advice) {
-        state.examinedPairs += static_cast<std::int64_t>(pass.open.size());
-        for (UpstreamRow* upstream : pass.open) {
-            if (isSuitable(spec, *candidate.route, *upstream))
-                visit(*upstream);
-        }
-        return;
-    }
-    const StepAdvice& advice = rowOf(candidate).advice;
-    state.examinedPairs += static_cast<std::int64_t>(advice.good.size());
-    for (const auto& [incarnation, grant] : advice.good) {
-        auto it = isValidAt(grant, at) ? pass.byIncarnation.find(incarnation) : pass.byIncarnation.end();
-        if (it != pass.byIncarnation.end() && isSuitable(spec, *candidate.route, *it->second))
-            visit(*it->second);
-    }
-}
-
-static std::vector<Place> findPlaces(CellState& state, const Candidate& candidate, int most, const PlacementPass& pass, TimePoint now)
-{
-    const StepSpec& spec = specOf(candidate);
-    Resources each = amountOf(spec);
-    std::vector<Place> places;
-    visitPlaces(state, candidate, pass, now, [&](UpstreamRow& upstream) {
-        if (countFits(roomOn(upstream), each, 1) == 0)
-            return;
-        Resources room = unreservedRoom(upstream, pass.reservations);
-        int fits = capPerUpstream(candidate, upstream, countFits(room, each, most));
-        if (fits == 0)
-            return;
-        bool isNear = spec.dataRack.empty() || spec.dataRack == upstream.entry.rack;
-        places.push_back({ &upstream, fits, room.milliCpu - spec.each.milliCpu, isNear });
-    });
-    // Best fit: keeps large free areas for large tasks.
-    std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
-        return std::make_tuple(!a.isNearData, a.leftMilliCpu, a.upstream->incarnation) < std::make_tuple(!b.isNearData, b.leftMilliCpu, b.upstream->incarnation);
-    });
-    return places;
-}
 
 static RunRow makeRun(CellState& state, const Candidate& candidate, const TaskKey& key, int run, const UpstreamRow& upstream, TimePoint now)
 {
@@ -209,18 +62,6 @@
     startRun(state, upstream, run, now, actions);
 }
 
-/// Indexes of the step's tasks that may start now.
-static std::vector<int> waitingTasks(const Candidate& candidate, TimePoint now)
-{
-    std::vector<int> indexes;
-    const StepRow& row = rowOf(candidate);
-    for (std::size_t i = 0; i < row.tasks.size(); ++i) {
-        if (row.tasks[i].phase == TaskPhase::Waiting && now >= row.tasks[i].notBefore)
-            indexes.push_back(static_cast<int>(i));
-    }
-    return indexes;
-}
-
 static TaskKey keyOf(const Candidate& candidate, int index)
 {
     TaskKey key = candidate.step;
@@ -228,20 +69,6 @@
     return key;
 }
 
-/// Avoids the upstream of the latest run of a task that has failed, unless there is no other.
-static Place* choosePlace(const TaskRow& task, std::vector<Place>& places)
-{
-    Place* fallback = nullptr;
-    for (Place& it : places) {
-        if (it.fits <= 0)
-            continue;
-        if (task.failedRuns.empty() || it.upstream->entry.id != task.upstream)
-            return &it;
-        fallback = &it;
-    }
-    return fallback;
-}
-
 /// Limits the searches for runs to preempt, by step and by pass; each of them visits all runs.
 static bool mayStartVictimSearch(const Candidate& candidate, ReservedRoom& reservations, TimePoint now)
 {
@@ -269,16 +96,8 @@
         addReservations(reservations, row.reservations);
         return;
     }
-    std::vector<PreemptionPlace> places;
-    Resources each = amountOf(specOf(candidate));
     // The ticket has to stay valid until the stopped runs have left.
-    visitPlaces(state, candidate, pass, now.steady + state.settings.stopTime, [&](UpstreamRow& upstream) {
-        if (countFits(roomAfterPreemption(upstream, candidate.priority), each, 1) == 0)
-            return;
-        int most = capPerUpstream(candidate, upstream, count);
-        if (most > 0)
-            places.push_back({ &upstream, most });
-    });
+    std::vector<PreemptionPlace> places = findPreemptionPlaces(state, candidate, count, pass, now.steady + state.settings.stopTime);
     row.reservedUntil = now.steady + state.settings.stopTime + kReservationSlack;
     row.reservations = makeRoom(state, reservations, places, makeRoomRequest(candidate, count), now, actions);
 }
@@ -345,23 +164,6 @@
     return true;
 }
 
-/// The places of a rack that fits all `count` tasks; empty if there is none.
-static std::vector<Place> findRack(const std::vector<Place>& places, int count)
-{
-    std::map<std::string, int> fits;
-    for (const Place& it : places)
-        fits[it.upstream->entry.rack] += it.fits;
-    for (const auto& [name, n] : fits) {
-        const std::string& rack = name;
-        if (n < count)
-            continue;
-        std::vector<Place> chosen;
-        std::copy_if(places.begin(), places.end(), std::back_inserter(chosen), [&rack](const Place& it) { return it.upstream->entry.rack == rack; });
-        return chosen;
-    }
-    return {};
-}
-
 static int latestRun(const StepRow& row)
 {
     int run = 0;
@@ -418,50 +220,6 @@
     return true;
 }
 
-namespace {
-
-/// Upper bound on the room that any upstream can offer, by priority. Skips candidates that fit nowhere.
-class LargestRoom {
-public:
-    explicit LargestRoom(const std::vector<UpstreamRow*>& open)
-        : m_open(open)
-        , m_free(find([](const UpstreamRow& upstream) { return roomOn(upstream); }))
-    {
-    }
-
-    bool mayFit(const Candidate& candidate)
-    {
-        Resources each = amountOf(specOf(candidate));
-        if (each.fitsIn(m_free))
-            return true;
-        return candidate.timeliness == Timeliness::InTime && each.fitsIn(afterPreemption(candidate.priority));
-    }
-
-private:
-    template <typename Room>
-    Resources find(Room roomOf) const
-    {
-        Resources largest;
-        for (const UpstreamRow* upstream : m_open)
-            largest = maximum(largest, roomOf(*upstream));
-        return largest;
-    }
-
-    const Resources& afterPreemption(int priority)
-    {
-        auto it = m_afterPreemption.find(priority);
-        if (it == m_afterPreemption.end())
-            it = m_afterPreemption.emplace(priority, find([priority](const UpstreamRow& upstream) { return roomAfterPreemption(upstream, priority); })).first;
-        return it->second;
-    }
-
-    const std::vector<UpstreamRow*>& m_open;
-    Resources m_free;
-    std::map<int, Resources> m_afterPreemption;
-};
-
-} // namespace
-
 /// Carries the reservations of all candidates into this pass, since earlier candidates must not use
 /// room that is being freed for later ones.
 static void renewReservations(const std::vector<Candidate>& candidates, ReservedRoom& reservations, TimePoint now)
@@ -519,11 +277,11 @@
     PlacementPass pass;
     if (!candidates.empty())
         findOpenUpstreams(state, now.steady, pass);
-    LargestRoom largest(pass.open);
+    LargestRoom largest = findLargestRoom(pass.open);
     renewReservations(candidates, pass.reservations, now.steady);
     for (const Candidate& candidate : candidates) {
         removeReservations(pass.reservations, rowOf(candidate).reservations);
-        if (largest.mayFit(candidate))
+        if (mayFit(largest, pass.open, candidate))
             placeCandidate(state, candidate, pass, now, actions);
     }
     state.nextPlacement = now.steady + pauseAfter(state, candidates.size(), state.examinedPairs - pairsBefore);
