Yield the cell to a larger instance that is back

Cause: the share of an instance was considered at an acquisition only.

An owner now releases the cell once an instance with at least twice its share has been listed for 2 s, if the store is in reach and the runs of earlier owners are known; at most every 30 s, since a larger instance may be unable to acquire. The release is that of a planned stop. A former owner also took the cell back at once, as it measured the vacancy from the one before its own ownership; an acquisition now ends that.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -196,6 +196,7 @@
         std::string incarnation;
         std::int64_t milliCpu { 0 }; ///< Processor share of the instance.
         TimePoint lastSeen; ///< Time of the latest store listing that held it.
+        TimePoint since; ///< Start of the latest unbroken series of such listings.
     };
     std::map<std::string, Instance> instances; ///< By name; includes this instance.
     TimePoint firstListedAt; ///< Time of the first successful listing.
@@ -205,6 +206,7 @@
     std::int64_t ownerToken { 0 };
     StoreRevision ownerRevision { 0 }; ///< Revision of the owner's record; 0: there is none.
     std::optional<TimePoint> vacantSince; ///< When the cell lost its owner; unset: it has one.
+    TimePoint nextYield; ///< Earliest time at which this instance may yield the cell to a larger one.
     /// Another incarnation runs under the owner's name, though the owner's lease has not expired.
     bool isOwnerRestarted { false };
     StoreRevision epochRevision { 0 };
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -77,7 +77,9 @@
     if (!record)
         return;
     std::string name = entry.key.substr(std::string(kInstancePrefix).size());
-    state.membership.instances[name] = { record->address, record->incarnation, record->milliCpu, now };
+    Membership::Instance& instance = state.membership.instances[name];
+    bool isUnbroken = instance.incarnation == record->incarnation && now - instance.lastSeen < kMaxListAge;
+    instance = { record->address, record->incarnation, record->milliCpu, now, isUnbroken ? instance.since : now };
 }
 
 static void expireInstances(Membership& membership, TimePoint now)
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -10,13 +10,17 @@
 
 namespace crocuslever::cell {
 
-/// An instance acts only on a list of the store's instances that is younger than this.
-static constexpr Duration kMaxListAge = std::chrono::milliseconds(1000);
 static constexpr std::uint64_t kAcquireJitterMs = 60; ///< Jitter, so that candidates do not all write at once.
 /// Smaller instances wait this long before they acquire a vacant cell. Outlasts a store call that times out.
 static constexpr Duration kLargerInstanceHeadStart = std::chrono::milliseconds(1000);
 /// Wait of all instances before one acquires a cell that never had an owner, to see the other instances.
 static constexpr Duration kDiscoveryWait = std::chrono::milliseconds(450);
+/// An owner yields the cell to an instance that is larger by at least this factor.
+static constexpr std::int64_t kYieldFactor = 2;
+/// The larger instance has to be listed for this long first.
+static constexpr Duration kYieldDelay = std::chrono::seconds(2);
+/// Between two yields of an instance, in case no larger instance is able to acquire the cell.
+static constexpr Duration kYieldInterval = std::chrono::seconds(30);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
 static constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
 /// Instances notify the owner of what they store, so the watch only has to cover lost notices.
@@ -66,6 +70,7 @@
     membership.ownerInstance = state.settings.instance;
     membership.ownerAddress = state.settings.address;
     membership.ownerToken = token;
+    membership.vacantSince.reset();
     logMessage(actions, LogLevel::Info, "ownership", "", "", "acquired the cell with token " + std::to_string(token) + ", previous owner: " + (ownership.predecessor.empty() ? "unknown" : ownership.predecessor));
     beginRecovery(state, now, actions);
 }
@@ -372,6 +377,32 @@
     logMessage(actions, LogLevel::Info, "ownership", ownership.predecessor, "", "the previous owner has restarted; leases of earlier runs expire within " + std::to_string(toMilliseconds(ownership.earlierRunsEnd - now.steady)) + " ms");
 }
 
+/// A much larger instance that could own the cell; null: none. An owner that acquired the cell while the
+/// larger instances were away must not stay its bottleneck after their return.
+static const std::string* findLargerInstance(const CellState& state, TimePoint now)
+{
+    std::int64_t least = std::max<std::int64_t>(1, kYieldFactor * state.settings.milliCpu);
+    for (const auto& [name, instance] : state.membership.instances) {
+        bool isLive = now - instance.lastSeen < kMaxListAge && now - instance.since >= kYieldDelay;
+        if (isLive && instance.milliCpu >= least)
+            return &name;
+    }
+    return nullptr;
+}
+
+/// Releases the cell to a larger instance, if there is one. Returns true if it did.
+static bool yieldToLargerInstance(CellState& state, const Instant& now, CellActions& actions)
+{
+    Membership& membership = state.membership;
+    bool mayYield = state.ownership.areEarlierRunsKnown && isStoreReachable(state) && !state.relay.isOn && !state.stopping;
+    const std::string* larger = mayYield && now.steady >= membership.nextYield ? findLargerInstance(state, now.steady) : nullptr;
+    if (!larger)
+        return false;
+    membership.nextYield = now.steady + kYieldInterval;
+    releaseOwnership(state, "instance " + *larger + " has a larger processor share", actions);
+    return true;
+}
+
 static bool isOwnerKeyMissing(const CellState& state)
 {
     return state.membership.ownerInstance != state.settings.instance;
@@ -382,6 +413,8 @@
     Ownership& ownership = state.ownership;
     Membership& membership = state.membership;
     if (isOwner(state)) {
+        if (yieldToLargerInstance(state, now, actions))
+            return;
         watchQueue(state, now, actions);
         checkPredecessor(state, now, actions);
         if (isOwnerKeyMissing(state) && membership.registered && !ownership.restoringOwnerKey)
@@ -394,14 +427,14 @@
         acquire(state, now.steady, actions);
 }
 
-void releaseOwnership(CellState& state, const Instant&, CellActions& actions)
+void releaseOwnership(CellState& state, const std::string& why, CellActions& actions)
 {
     StoreChange command;
     command.conditions = { { kEpochKey, state.ownership.epochRevision } };
     command.deletes = { kOwnerKey };
     auto ignore = [](CellState&, const StoreReply&, const Instant&, CellActions&) {};
     sendChange(state, std::move(command), ignore, actions);
-    loseOwnership(state, "this instance is shutting down", actions);
+    loseOwnership(state, why, actions);
 }
 
 } // namespace crocuslever::cell
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -104,6 +104,38 @@
     }
 }
 
+// A small instance that had acquired the cell while the larger ones were away kept it, and was overloaded.
+BOOST_AUTO_TEST_CASE(SmallInstanceKeepsCellAfterLargerOnesReturn)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.instances = 9;
+            settings.largeInstances = 2;
+            settings.seed = seed;
+            CellFixture fixture(settings);
+            CellEmulator& emulator = fixture.emulator;
+            emulator.kill(0);
+            emulator.kill(1);
+            BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(6), [&] { return emulator.owner().has_value(); }));
+            BOOST_REQUIRE_GE(fixture.owner(), 2u);
+            constexpr int kJobs = 10;
+            for (int n = 1; n <= kJobs; ++n)
+                emulator.submit(jobId(n), makeJob(makeScript(3000), { makeStep(2, 1000) }), 8);
+            emulator.runFor(std::chrono::seconds(1));
+            emulator.restart(0);
+            emulator.runFor(std::chrono::seconds(6));
+            BOOST_CHECK_EQUAL(fixture.owner(), 0u);
+            for (int n = 1; n <= kJobs; ++n) {
+                BOOST_CHECK(fixture.waitFor(n, JobState::Completed, std::chrono::seconds(3), 8));
+                BOOST_CHECK_EQUAL(fixture.startsOf(n), 2);
+            }
+            fixture.checkRules();
+        }
+    }
+}
+
 // All processes are restarted at once. The cell must get an owner before the lease of the previous
 // incarnation expires.
 BOOST_FIXTURE_TEST_CASE(RestartedOwnerIsReplacedBeforeLeaseExpiry, CellFixture)
--- a/tests/CellTest.cpp
+++ b/tests/CellTest.cpp
@@ -110,48 +110,54 @@
     checkRules();
 }
 
-// Restarts, crashes, store outages and lost answers at the same time, with many seeds: no rule is
-// violated, and every accepted job ends.
+/// Restarts, crashes, store outages and lost answers at the same time. No rule may be violated, and every
+/// accepted job has to end.
+static void runManyFaults(std::uint64_t seed, int largeInstances)
+{
+    EmulatorSettings settings;
+    settings.seed = seed;
+    settings.largeInstances = largeInstances;
+    settings.lateOrders = 0.03;
+    settings.lostAnswers = 0.03;
+    CellFixture fixture(settings);
+    CellEmulator& emulator = fixture.emulator;
+    std::mt19937_64 random(seed);
+    for (int n = 1; n <= 40; ++n) {
+        StepSpec second = makeStep(2, 1000);
+        second.after = { 0 };
+        emulator.submit(jobId(n), makeJob(makeScript(200 + 40 * (n % 10), n % 7 == 0 ? 1 : 0), { makeStep(3, 1500), second }), static_cast<std::size_t>(n) % 3);
+        emulator.runFor(std::chrono::milliseconds(150));
+        if (n % 10 == 0 && emulator.owner())
+            emulator.restart(random() % 2 == 0 ? *emulator.owner() : random() % 3);
+        if (n % 13 == 0)
+            emulator.crashUpstream("u" + std::to_string(random() % 6));
+        emulator.setStoreDown(n % 17 >= 15);
+        emulator.cutUpstream("u" + std::to_string(n % 6), n % 9 == 0);
+        fixture.checkAccounting();
+    }
+    emulator.setStoreDown(false);
+    for (const std::string& id : emulator.upstreamIds())
+        emulator.cutUpstream(id, false);
+    emulator.runFor(std::chrono::seconds(20));
+    BOOST_REQUIRE(emulator.owner().has_value());
+    fixture.checkAccounting();
+    for (const auto& [id, job] : emulator.jobs()) {
+        EntryReply reply = emulator.lookUp(id, fixture.owner());
+        bool isEnded = reply.outcome == EntryOutcome::State && reply.state == JobState::Completed;
+        bool isOwed = job.submitted == EntryOutcome::Accepted;
+        BOOST_CHECK_MESSAGE(!isOwed || isEnded, "LOST: " + id + " is " + toString(reply.state));
+        int starts = fixture.startsOf(std::atoi(id.c_str()));
+        BOOST_CHECK_MESSAGE(job.submitted != EntryOutcome::Refused || starts == 0, "REFUSED: " + id + " was started");
+    }
+    fixture.checkRules();
+}
+
 BOOST_AUTO_TEST_CASE(RulesHoldUnderManyFaults)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            settings.lateOrders = 0.03;
-            settings.lostAnswers = 0.03;
-            CellFixture fixture(settings);
-            CellEmulator& emulator = fixture.emulator;
-            std::mt19937_64 random(seed);
-            for (int n = 1; n <= 40; ++n) {
-                StepSpec second = makeStep(2, 1000);
-                second.after = { 0 };
-                emulator.submit(jobId(n), makeJob(makeScript(200 + 40 * (n % 10), n % 7 == 0 ? 1 : 0), { makeStep(3, 1500), second }), static_cast<std::size_t>(n) % 3);
-                emulator.runFor(std::chrono::milliseconds(150));
-                if (n % 10 == 0 && emulator.owner())
-                    emulator.restart(random() % 2 == 0 ? *emulator.owner() : random() % 3);
-                if (n % 13 == 0)
-                    emulator.crashUpstream("u" + std::to_string(random() % 6));
-                emulator.setStoreDown(n % 17 >= 15);
-                emulator.cutUpstream("u" + std::to_string(n % 6), n % 9 == 0);
-                fixture.checkAccounting();
-            }
-            emulator.setStoreDown(false);
-            for (const std::string& id : emulator.upstreamIds())
-                emulator.cutUpstream(id, false);
-            emulator.runFor(std::chrono::seconds(20));
-            BOOST_REQUIRE(emulator.owner().has_value());
-            fixture.checkAccounting();
-            for (const auto& [id, job] : emulator.jobs()) {
-                EntryReply reply = emulator.lookUp(id, fixture.owner());
-                bool isEnded = reply.outcome == EntryOutcome::State && reply.state == JobState::Completed;
-                bool isOwed = job.submitted == EntryOutcome::Accepted;
-                BOOST_CHECK_MESSAGE(!isOwed || isEnded, "LOST: " + id + " is " + toString(reply.state));
-                int starts = fixture.startsOf(std::atoi(id.c_str()));
-                BOOST_CHECK_MESSAGE(job.submitted != EntryOutcome::Refused || starts == 0, "REFUSED: " + id + " was started");
-            }
-            fixture.checkRules();
+        for (int largeInstances : { 0, 1 }) {
+            BOOST_TEST_CONTEXT("seed " << seed << ", large instances: " << largeInstances)
+            runManyFaults(seed, largeInstances);
         }
     }
 }
