Count listings, not their age, before an overloaded owner yields

A small instance acquired the cell at 7.4 s; the larger ones were back at 10 s; one of them owned it at 27, 39 and 26 s, when the overloaded owner's lease had lapsed.

Cause: the yield required listings less than a second apart. The timer of an overloaded owner is 0.2 to 0.6 s late, and its store calls take as long, so that its listings are rarer and the wait began anew at each. Class: a decision that depends on the timeliness of what it is there to relieve.

An instance now counts as continuously listed if no listing in between lacks it, and the latest listing counts however old it is. It has to be listed for 1 s, not 2.

OverloadedSmallInstanceKeepsCell fails on the code before and passes.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -196,7 +196,7 @@
         std::string incarnation;
         std::int64_t milliCpu { 0 }; ///< Processor share of the instance.
         TimePoint lastSeen; ///< Time of the latest store listing that held it.
-        TimePoint since; ///< Start of the latest unbroken series of such listings.
+        TimePoint since; ///< Time of the first of the listings that held it without a gap.
     };
     std::map<std::string, Instance> instances; ///< By name; includes this instance.
     TimePoint firstListedAt; ///< Time of the first successful listing.
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -71,14 +71,14 @@
     }
 }
 
-static void applyInstanceEntry(CellState& state, const StoreEntry& entry, TimePoint now)
+static void applyInstanceEntry(CellState& state, const StoreEntry& entry, TimePoint previousListing, TimePoint now)
 {
     std::optional<InstanceRecord> record = decodeInstance(entry.value);
     if (!record)
         return;
     std::string name = entry.key.substr(std::string(kInstancePrefix).size());
     Membership::Instance& instance = state.membership.instances[name];
-    bool isUnbroken = instance.incarnation == record->incarnation && now - instance.lastSeen < kMaxListAge;
+    bool isUnbroken = instance.incarnation == record->incarnation && instance.lastSeen == previousListing;
     instance = { record->address, record->incarnation, record->milliCpu, now, isUnbroken ? instance.since : now };
 }
 
@@ -97,6 +97,7 @@
         return;
     }
     membership.nextList = now.steady + kListInterval;
+    TimePoint previousListing = membership.listedAt;
     membership.listedAt = now.steady;
     if (membership.firstListedAt == TimePoint())
         membership.firstListedAt = now.steady;
@@ -112,7 +113,7 @@
         } else if (entry.key == kLargestInstanceKey) {
             membership.largestMilliCpu = decodeProcessorShare(entry.value);
         } else {
-            applyInstanceEntry(state, entry, now.steady);
+            applyInstanceEntry(state, entry, previousListing, now.steady);
         }
     }
     expireInstances(membership, now.steady);
--- a/src/cell/Membership.h
+++ b/src/cell/Membership.h
@@ -7,9 +7,6 @@
 /// How long an instance missing from the store is remembered; a store outage may have ended its lease.
 constexpr Duration kInstanceRetention = std::chrono::seconds(10);
 
-/// An instance acts only on a list of the store's instances that is younger than this.
-constexpr Duration kMaxListAge = std::chrono::milliseconds(1000);
-
 /// Maintains this instance's lease and registration in the store, and polls the
 /// store for the other instances and the cell's owner.
 void tickMembership(CellState&, const Instant& now, CellActions&);
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -10,6 +10,8 @@
 
 namespace crocuslever::cell {
 
+/// An instance acts only on a list of the store's instances that is younger than this.
+static constexpr Duration kMaxListAge = std::chrono::milliseconds(1000);
 static constexpr std::uint64_t kAcquireJitterMs = 60; ///< Jitter, so that candidates do not all write at once.
 /// Smaller instances wait this long before they acquire a vacant cell. Outlasts a store call that times out.
 static constexpr Duration kLargerInstanceHeadStart = std::chrono::milliseconds(1000);
@@ -18,7 +20,7 @@
 /// An owner yields the cell to an instance that is larger by at least this factor.
 static constexpr std::int64_t kYieldFactor = 2;
 /// The larger instance has to be listed for this long first.
-static constexpr Duration kYieldDelay = std::chrono::seconds(2);
+static constexpr Duration kYieldDelay = std::chrono::seconds(1);
 /// Between two yields of an instance, in case no larger instance is able to acquire the cell.
 static constexpr Duration kYieldInterval = std::chrono::seconds(30);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
@@ -378,13 +380,15 @@
 }
 
 /// A much larger instance that could own the cell; null: none. An owner that acquired the cell while the
-/// larger instances were away must not stay its bottleneck after their return.
-static const std::string* findLargerInstance(const CellState& state, TimePoint now)
+/// larger instances were away must not stay its bottleneck after their return. The listings of an overloaded
+/// owner are rare, so that only their order counts, not their age.
+static const std::string* findLargerInstance(const CellState& state)
 {
+    TimePoint listedAt = state.membership.listedAt;
     std::int64_t least = std::max<std::int64_t>(1, kYieldFactor * state.settings.milliCpu);
     for (const auto& [name, instance] : state.membership.instances) {
-        bool isLive = now - instance.lastSeen < kMaxListAge && now - instance.since >= kYieldDelay;
-        if (isLive && instance.milliCpu >= least)
+        bool isListed = instance.lastSeen == listedAt && listedAt - instance.since >= kYieldDelay;
+        if (isListed && instance.milliCpu >= least)
             return &name;
     }
     return nullptr;
@@ -395,7 +399,7 @@
 {
     Membership& membership = state.membership;
     bool mayYield = state.ownership.areEarlierRunsKnown && isStoreReachable(state) && !state.relay.isOn && !state.stopping;
-    const std::string* larger = mayYield && now.steady >= membership.nextYield ? findLargerInstance(state, now.steady) : nullptr;
+    const std::string* larger = mayYield && now.steady >= membership.nextYield ? findLargerInstance(state) : nullptr;
     if (!larger)
         return false;
     membership.nextYield = now.steady + kYieldInterval;
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -215,30 +215,81 @@
     BOOST_CHECK_EQUAL(startsOf(1), 1);
 }
 
+/// The core of instance "i0", which owns the cell with token 4, and its first store calls.
+struct OwnerFixture {
+    OwnerFixture()
+        : state(makeSettings(), StoreFormat { [](const std::vector<StoreEntry>&) { return Declarations {}; }, [](const std::vector<StoreEntry>&) { return Directory {}; } })
+    {
+        state.ownership.phase = OwnerPhase::Deciding;
+        state.ownership.token = 4;
+        state.ownership.areEarlierRunsKnown = true;
+        state.membership.ownerInstance = "i0";
+        runTick();
+        BOOST_REQUIRE(watch != 0 && listing != 0);
+    }
+
+    /// Runs a tick and keeps the tickets of the store calls that it makes.
+    void runTick()
+    {
+        CellActions actions;
+        tick(state, now, actions);
+        for (const CellAction& action : actions) {
+            if (const StoreAwait* call = std::get_if<StoreAwait>(&action))
+                watch = call->ticket;
+            const StoreList* list = std::get_if<StoreList>(&action);
+            if (list && list->prefix == kCellPrefix)
+                listing = list->ticket;
+        }
+    }
+
+    static CellSettings makeSettings()
+    {
+        CellSettings settings;
+        settings.instance = "i0";
+        settings.incarnation = "i0-1";
+        settings.milliCpu = 120;
+        return settings;
+    }
+
+    void answer(Ticket ticket, std::vector<StoreEntry> entries)
+    {
+        StoreReply reply;
+        reply.ticket = ticket;
+        reply.status = StoreStatus::Ok;
+        reply.entries = std::move(entries);
+        CellActions actions;
+        handleEvent(state, reply, now, actions);
+    }
+
+    Instant now { TimePoint(std::chrono::seconds(100)), 1000000 };
+    CellState state;
+    Ticket watch { 0 };
+    Ticket listing { 0 };
+};
+
 // A former owner started jobs that its watch had told it of, and their owner started them as well.
-BOOST_AUTO_TEST_CASE(FormerOwnerStartsJobsOfItsSuccessor)
+BOOST_FIXTURE_TEST_CASE(FormerOwnerStartsJobsOfItsSuccessor, OwnerFixture)
 {
-    Instant now { TimePoint(std::chrono::seconds(100)), 1000000 };
-    CellSettings settings;
-    settings.instance = "i0";
-    CellState state(settings, StoreFormat { [](const std::vector<StoreEntry>&) { return Declarations {}; }, [](const std::vector<StoreEntry>&) { return Directory {}; } });
-    state.ownership.phase = OwnerPhase::Deciding;
-    state.ownership.token = 4;
-    state.membership.ownerInstance = "i0";
-    CellActions actions;
-    tick(state, now, actions);
-    auto watch = std::find_if(actions.begin(), actions.end(), [](const CellAction& it) { return std::holds_alternative<StoreAwait>(it); });
-    BOOST_REQUIRE(watch != actions.end());
-    StoreReply reply;
-    reply.ticket = std::get<StoreAwait>(*watch).ticket;
-    reply.status = StoreStatus::Ok;
     JobRecord job { jobId(1), "route", "team", now.wallMs, makeJob(makeScript(500), { makeStep(1, 1000) }) };
-    reply.entries = { { kQueueEpochKey, "5", 30 }, { jobKey(job.id), encodeJob(job), 31 } };
-    handleEvent(state, reply, now, actions);
+    answer(watch, { { kQueueEpochKey, "5", 30 }, { jobKey(job.id), encodeJob(job), 31 } });
     BOOST_CHECK(state.jobs.empty());
     BOOST_CHECK(state.ownership.phase == OwnerPhase::None);
 }
 
+// A small owner was so overloaded that its listings were over a second apart, and it ignored larger instances.
+BOOST_FIXTURE_TEST_CASE(OverloadedSmallInstanceKeepsCell, OwnerFixture)
+{
+    OwnerRecord owner { "i0", "", "i0-1", 4, 0 };
+    InstanceRecord larger { "i1", "i1-1", 500 };
+    for (int n = 0; n < 2; ++n) {
+        BOOST_CHECK(state.ownership.phase == OwnerPhase::Deciding);
+        answer(listing, { { kEpochKey, "4", 20 }, { kOwnerKey, encodeOwner(owner), 20 }, { kInstancePrefix + std::string("i1"), encodeInstance(larger), 25 } });
+        now.steady += std::chrono::seconds(3);
+        runTick();
+    }
+    BOOST_CHECK(state.ownership.phase == OwnerPhase::None);
+}
+
 // A successor started a gang under the run number of a run that had ended on an upstream that was gone.
 BOOST_FIXTURE_TEST_CASE(SuccessorUsesARunNumberAgain, CellFixture)
 {
