Ignore listings that are older than the known epoch

Callers saw nothing of it, as upstreams and store refuse the old token; its jobs were read for nothing.

Cause: it learned of its successor from a commit, and then applied a listing that it had asked for before, which still named it as the owner; that is how an acquisition whose answer was lost is found. Class: an answer that comes late counts as new.

The epoch is now recorded from each reading of either of its keys, never goes back, and a listing with an older one is dropped and asked for again.

FormerOwnerTakesTheCellBackByALateListing fails on the code before and passes now.

--- a/src/cell/Commits.cpp
+++ b/src/cell/Commits.cpp
@@ -4,6 +4,7 @@
 
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
+#include "src/cell/Membership.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/RecordCodec.h"
 #include "src/cell/StoreCalls.h"
@@ -151,6 +152,10 @@
 static void resolveConflict(CellState& state, std::size_t laneNumber, const StoreReply& reply, const Instant& now, CellActions& actions)
 {
     if (revisionOf(reply, kEpochKey) != state.ownership.epochRevision) {
+        for (const StoreEntry& entry : reply.entries) {
+            if (entry.key == kEpochKey)
+                recordEpoch(state.membership, entry);
+        }
         loseOwnership(state, "the store has a later epoch", actions);
         return;
     }
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -1,5 +1,7 @@
 #include "src/cell/Membership.h"
 
+#include <algorithm>
+
 #include "src/cell/Keys.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/RecordCodec.h"
@@ -71,6 +73,22 @@
     }
 }
 
+void recordEpoch(Membership& membership, const StoreEntry& entry)
+{
+    if (entry.modRevision <= membership.epochRevision)
+        return;
+    membership.epoch = std::atoll(entry.value.c_str());
+    membership.epochRevision = entry.modRevision;
+}
+
+/// True if the listing is older than what this instance knows. It may name an owner that has lost the cell.
+static bool isOutdated(const Membership& membership, const StoreReply& listing)
+{
+    return std::any_of(listing.entries.begin(), listing.entries.end(), [&membership](const StoreEntry& it) {
+        return it.key == kEpochKey && it.modRevision < membership.epochRevision;
+    });
+}
+
 static void applyInstanceEntry(CellState& state, const StoreEntry& entry, TimePoint previousListing, TimePoint now)
 {
     std::optional<InstanceRecord> record = decodeInstance(entry.value);
@@ -92,7 +110,7 @@
 {
     Membership& membership = state.membership;
     membership.listing = false;
-    if (reply.status != StoreStatus::Ok) {
+    if (reply.status != StoreStatus::Ok || isOutdated(membership, reply)) {
         membership.nextList = now.steady + kRetryInterval;
         return;
     }
@@ -104,8 +122,7 @@
     std::optional<OwnerRecord> owner;
     for (const StoreEntry& entry : reply.entries) {
         if (entry.key == kEpochKey) {
-            membership.epoch = std::atoll(entry.value.c_str());
-            membership.epochRevision = entry.modRevision;
+            recordEpoch(membership, entry);
         } else if (entry.key == kOwnerKey) {
             owner = decodeOwner(entry.value);
             if (owner)
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -278,10 +278,11 @@
 /// Gives the cell up if the queue holds a later token. The jobs stored since then are the successor's.
 static bool losesToSuccessor(CellState& state, const StoreReply& reply, CellActions& actions)
 {
-    std::int64_t token = state.ownership.token;
-    bool hasSuccessor = std::any_of(reply.entries.begin(), reply.entries.end(), [token](const StoreEntry& it) {
-        return it.key == kQueueEpochKey && std::atoll(it.value.c_str()) > token;
-    });
+    for (const StoreEntry& entry : reply.entries) {
+        if (entry.key == kQueueEpochKey)
+            recordEpoch(state.membership, entry);
+    }
+    bool hasSuccessor = state.membership.epoch > state.ownership.token;
     if (hasSuccessor)
         loseOwnership(state, "the job queue holds a later token", actions);
     return hasSuccessor;
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -276,6 +276,16 @@
     BOOST_CHECK(state.ownership.phase == OwnerPhase::None);
 }
 
+// A former owner that knew of its successor took the cell back, as a late listing named it as the owner.
+BOOST_FIXTURE_TEST_CASE(FormerOwnerTakesTheCellBackByALateListing, OwnerFixture)
+{
+    answer(watch, { { kQueueEpochKey, "5", 30 } });
+    BOOST_CHECK(state.ownership.phase == OwnerPhase::None);
+    OwnerRecord former { "i0", "", "i0-1", 4, 0 };
+    answer(listing, { { kEpochKey, "4", 20 }, { kOwnerKey, encodeOwner(former), 20 } });
+    BOOST_CHECK(state.ownership.phase == OwnerPhase::None);
+}
+
 // A small owner was so overloaded that its listings were over a second apart, and it ignored larger instances.
 BOOST_FIXTURE_TEST_CASE(OverloadedSmallInstanceKeepsCell, OwnerFixture)
 {
