Let a larger instance take the cell over from an overloaded small one

Cause: the yield asks the overloaded owner to act. What relieves an instance must not wait for that instance.

A larger instance now acquires the cell itself once it and an owner of at most half its share have been listed together for 1 s. It is an acquisition like any other: the condition is the owner's record and the epoch, and the token fences the former owner.

LargerInstanceLeavesCellToOverloadedOwner fails on the code before and passes now. It takes the place of OverloadedSmallInstanceKeepsCell, which asked for the yield that goes; SmallInstanceKeepsCellAfterLargerOnesReturn stays as it was, and passes.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -96,7 +96,7 @@
     Duration since = now.steady - state.stoppingSince;
     bool hasReleasedCell = state.ownership.phase == OwnerPhase::None;
     if (!hasReleasedCell && since >= kHandOverWait && (isAllCommitted(state) || since >= 3 * kHandOverWait))
-        releaseOwnership(state, "this instance is shutting down", actions);
+        releaseOwnership(state, now, actions);
     bool areCallersServed = since >= kStopServeTime && state.entries.empty();
     if (!areCallersServed && since < state.settings.stopGrace)
         return;
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -206,7 +206,6 @@
     std::int64_t ownerToken { 0 };
     StoreRevision ownerRevision { 0 }; ///< Revision of the owner's record; 0: there is none.
     std::optional<TimePoint> vacantSince; ///< When the cell lost its owner; unset: it has one.
-    TimePoint nextYield; ///< Earliest time at which this instance may yield the cell to a larger one.
     /// Another incarnation runs under the owner's name, though the owner's lease has not expired.
     bool isOwnerRestarted { false };
     StoreRevision epochRevision { 0 };
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -17,12 +17,10 @@
 static constexpr Duration kLargerInstanceHeadStart = std::chrono::milliseconds(1000);
 /// Wait of all instances before one acquires a cell that never had an owner, to see the other instances.
 static constexpr Duration kDiscoveryWait = std::chrono::milliseconds(450);
-/// An owner yields the cell to an instance that is larger by at least this factor.
-static constexpr std::int64_t kYieldFactor = 2;
-/// The larger instance has to be listed for this long first.
-static constexpr Duration kYieldDelay = std::chrono::seconds(1);
-/// Between two yields of an instance, in case no larger instance is able to acquire the cell.
-static constexpr Duration kYieldInterval = std::chrono::seconds(30);
+/// An instance takes the cell over from an owner that is smaller by at least this factor.
+static constexpr std::int64_t kTakeoverFactor = 2;
+/// Both have to be listed together for this long first.
+static constexpr Duration kTakeoverDelay = std::chrono::seconds(1);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
 static constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
 /// Instances notify the owner of what they store, so the watch only has to cover lost notices.
@@ -72,7 +70,6 @@
     membership.ownerInstance = state.settings.instance;
     membership.ownerAddress = state.settings.address;
     membership.ownerToken = token;
-    membership.vacantSince.reset();
     logMessage(actions, LogLevel::Info, "ownership", "", "", "acquired the cell with token " + std::to_string(token) + ", previous owner: " + (ownership.predecessor.empty() ? "unknown" : ownership.predecessor));
     beginRecovery(state, now, actions);
 }
@@ -159,6 +156,21 @@
     return membership.vacantSince && now < *membership.vacantSince + headStartOfOthers(state, now);
 }
 
+/// True if the owner is so much smaller than this instance that the cell has to be taken over. It acquired the
+/// cell while the larger instances were away. In a large cell it is too busy to notice that they are back.
+static bool isOwnerTooSmall(const CellState& state)
+{
+    const Membership& membership = state.membership;
+    auto owner = membership.instances.find(membership.ownerInstance);
+    auto self = membership.instances.find(state.settings.instance);
+    if (owner == membership.instances.end() || self == membership.instances.end())
+        return false;
+    bool areListed = owner->second.lastSeen == membership.listedAt && self->second.lastSeen == membership.listedAt;
+    TimePoint since = std::max(owner->second.since, self->second.since);
+    bool isSmaller = owner->second.milliCpu > 0 && owner->second.milliCpu * kTakeoverFactor <= state.settings.milliCpu;
+    return areListed && membership.listedAt - since >= kTakeoverDelay && isSmaller;
+}
+
 static StorePut makeOwnerPut(const CellState& state, std::int64_t token)
 {
     OwnerRecord record { state.settings.instance, state.settings.address, state.settings.incarnation, token, 0 };
@@ -380,34 +392,6 @@
     logMessage(actions, LogLevel::Info, "ownership", ownership.predecessor, "", "the previous owner has restarted; leases of earlier runs expire within " + std::to_string(toMilliseconds(ownership.earlierRunsEnd - now.steady)) + " ms");
 }
 
-/// A much larger instance that could own the cell; null: none. An owner that acquired the cell while the
-/// larger instances were away must not stay its bottleneck after their return. The listings of an overloaded
-/// owner are rare, so that only their order counts, not their age.
-static const std::string* findLargerInstance(const CellState& state)
-{
-    TimePoint listedAt = state.membership.listedAt;
-    std::int64_t least = std::max<std::int64_t>(1, kYieldFactor * state.settings.milliCpu);
-    for (const auto& [name, instance] : state.membership.instances) {
-        bool isListed = instance.lastSeen == listedAt && listedAt - instance.since >= kYieldDelay;
-        if (isListed && instance.milliCpu >= least)
-            return &name;
-    }
-    return nullptr;
-}
-
-/// Releases the cell to a larger instance, if there is one. Returns true if it did.
-static bool yieldToLargerInstance(CellState& state, const Instant& now, CellActions& actions)
-{
-    Membership& membership = state.membership;
-    bool mayYield = state.ownership.areEarlierRunsKnown && isStoreReachable(state) && !state.relay.isOn && !state.stopping;
-    const std::string* larger = mayYield && now.steady >= membership.nextYield ? findLargerInstance(state) : nullptr;
-    if (!larger)
-        return false;
-    membership.nextYield = now.steady + kYieldInterval;
-    releaseOwnership(state, "instance " + *larger + " has a larger processor share", actions);
-    return true;
-}
-
 static bool isOwnerKeyMissing(const CellState& state)
 {
     return state.membership.ownerInstance != state.settings.instance;
@@ -418,8 +402,6 @@
     Ownership& ownership = state.ownership;
     Membership& membership = state.membership;
     if (isOwner(state)) {
-        if (yieldToLargerInstance(state, now, actions))
-            return;
         watchQueue(state, now, actions);
         checkPredecessor(state, now, actions);
         if (isOwnerKeyMissing(state) && membership.registered && !ownership.restoringOwnerKey)
@@ -427,19 +409,20 @@
         return;
     }
     bool isListFresh = membership.listedAt != TimePoint() && now.steady - membership.listedAt < kMaxListAge;
-    bool mayAcquire = ownership.phase == OwnerPhase::None && membership.registered && isListFresh && (membership.ownerAddress.empty() || membership.isOwnerRestarted);
+    bool isVacant = membership.ownerAddress.empty() || membership.isOwnerRestarted;
+    bool mayAcquire = ownership.phase == OwnerPhase::None && membership.registered && isListFresh && (isVacant || isOwnerTooSmall(state));
     if (mayAcquire && !state.stopping && now.steady >= ownership.nextAttempt && !yieldsToLargerInstance(state, now.steady))
         acquire(state, now.steady, actions);
 }
 
-void releaseOwnership(CellState& state, const std::string& why, CellActions& actions)
+void releaseOwnership(CellState& state, const Instant&, CellActions& actions)
 {
     StoreChange command;
     command.conditions = { { kEpochKey, state.ownership.epochRevision } };
     command.deletes = { kOwnerKey };
     auto ignore = [](CellState&, const StoreReply&, const Instant&, CellActions&) {};
     sendChange(state, std::move(command), ignore, actions);
-    loseOwnership(state, why, actions);
+    loseOwnership(state, "this instance is shutting down", actions);
 }
 
 } // namespace crocuslever::cell
--- a/src/cell/Ownership.h
+++ b/src/cell/Ownership.h
@@ -21,8 +21,8 @@
 
 /// Drops ownership and all state that only the owner has. `why` is logged.
 void loseOwnership(CellState&, const std::string& why, CellActions&);
-/// Deletes the owner key, so that another instance can acquire the cell at once, and drops ownership. `why` is logged.
-void releaseOwnership(CellState&, const std::string& why, CellActions&);
+/// Deletes the owner key, so that another instance can acquire the cell at once, and drops ownership.
+void releaseOwnership(CellState&, const Instant& now, CellActions&);
 
 /// Notice from an instance that it has stored a job or a cancellation.
 struct QueueNotice {
