Let an owner prove its ownership by listings, not by its lease alone

No caller has seen this; it was found when the takeover was read again. A former owner may give orders for 6 s after its lease was last renewed, and a successor waits that long, and for the leases of runs, before it starts again what runs on an upstream out of its reach. Until now an owner lost the cell only with its lease. A takeover leaves the lease alone: a former owner whose renewals are answered, but neither listings nor commits, would go on, and a task could run twice on an upstream that only the former owner reaches.

Orders now also need a listing that was asked for within the same 6 s; one that shows a later epoch ends the ownership.

FormerOwnerGivesOrdersAfterATakeover fails on the code before and passes now.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -191,6 +191,7 @@
     bool listing { false };
     TimePoint nextList;
     TimePoint listedAt; ///< Time of the latest successful listing.
+    TimePoint listSentAt; ///< When that listing was asked for.
     struct Instance {
         std::string address;
         std::string incarnation;
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -106,7 +106,7 @@
         it = now - it->second.lastSeen > kInstanceRetention ? membership.instances.erase(it) : std::next(it);
 }
 
-static void handleList(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+static void handleList(CellState& state, const StoreReply& reply, TimePoint sentAt, const Instant& now, CellActions& actions)
 {
     Membership& membership = state.membership;
     membership.listing = false;
@@ -117,6 +117,7 @@
     membership.nextList = now.steady + kListInterval;
     TimePoint previousListing = membership.listedAt;
     membership.listedAt = now.steady;
+    membership.listSentAt = sentAt;
     if (membership.firstListedAt == TimePoint())
         membership.firstListedAt = now.steady;
     std::optional<OwnerRecord> owner;
@@ -142,7 +143,9 @@
     if (state.membership.listing || now.steady < state.membership.nextList)
         return;
     state.membership.listing = true;
-    listKeys(state, kCellPrefix, handleList, actions);
+    TimePoint sentAt = now.steady;
+    auto then = [sentAt](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) { handleList(s, reply, sentAt, at, out); };
+    listKeys(state, kCellPrefix, then, actions);
 }
 
 void tickMembership(CellState& state, const Instant& now, CellActions& actions)
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -35,7 +35,9 @@
 
 bool mayIssueOrders(const CellState& state, TimePoint now)
 {
-    return isOwner(state) && now - state.membership.renewedAt < state.settings.ownerLeaseTimeout;
+    // A larger instance may take the cell over while the lease goes on, so that the lease alone proves nothing.
+    TimePoint provenAt = std::min(state.membership.renewedAt, state.membership.listSentAt);
+    return isOwner(state) && now - provenAt < state.settings.ownerLeaseTimeout;
 }
 
 void loseOwnership(CellState& state, const std::string& why, CellActions& actions)
--- a/src/cell/Ownership.h
+++ b/src/cell/Ownership.h
@@ -13,7 +13,7 @@
 void tickOwnership(CellState&, const Instant& now, CellActions&);
 
 /// True while this instance owns the cell and may send orders to upstreams. An
-/// owner that cannot renew its lease stops early enough that its run leases
+/// owner that cannot renew its lease, or see that it still owns the cell, stops early enough that its run leases
 /// expire before a successor stops waiting for them.
 bool mayIssueOrders(const CellState&, TimePoint now);
 /// True once this instance owns the cell and has recovered its state.
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -5,6 +5,7 @@
 #include "src/cell/Entry.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
+#include "src/cell/Ownership.h"
 #include "src/cell/RecordCodec.h"
 #include "tests/CellFixture.h"
 
@@ -293,6 +294,18 @@
     BOOST_CHECK(state.ownership.phase == OwnerPhase::None);
 }
 
+// A former owner that renewed its lease, and saw nothing else of the store, gave orders after a takeover.
+BOOST_FIXTURE_TEST_CASE(FormerOwnerGivesOrdersAfterATakeover, OwnerFixture)
+{
+    OwnerRecord owner { "i0", "", "i0-1", 4, 0 };
+    answer(listing, { { kEpochKey, "4", 20 }, { kOwnerKey, encodeOwner(owner), 20 } });
+    state.membership.renewedAt = now.steady;
+    BOOST_CHECK(mayIssueOrders(state, now.steady));
+    now.steady += state.settings.ownerLeaseTimeout;
+    state.membership.renewedAt = now.steady;
+    BOOST_CHECK(!mayIssueOrders(state, now.steady));
+}
+
 // A small owner was too overloaded to notice that larger instances were back, and none of them acted.
 BOOST_AUTO_TEST_CASE(LargerInstanceLeavesCellToOverloadedOwner)
 {
