Let a history's not_run answer speak of its own call only

The trace: c12 stores the job at an owner that gets no answer of the store and is answered outcome_unknown after 8 s; 8 s later the caller sends the job again, under the same id, as c27, to an instance whose lease has lapsed, which refuses; the owner comes back and starts what c12 had stored. Usually the instance has its lease again by then.

The answers are as docs/API.md promises: not_run speaks of the call that it answers, and after an outcome_unknown only the job's state tells. The check was wrong: it took any not_run answer for the work as a whole. It stays a violation if all calls sent before the start were refused; NotRunSpeaksOfItsOwnCall checks both, and a call that was sent too late to excuse it.

--- a/tests/HistoryCheckerTest.cpp
+++ b/tests/HistoryCheckerTest.cpp
@@ -164,6 +164,17 @@
     expectNoViolation({ makeInitialList(), send, answer, makeAttempt(9, "start", "a1", "j1") });
 }
 
+// A job was sent again under its id after an unknown outcome, and refused; the first call had stored it.
+BOOST_AUTO_TEST_CASE(NotRunSpeaksOfItsOwnCall)
+{
+    History history { makeInitialList(), makeSend(1, "c1", "j1"), makeAnswer(3, "c1", "outcome_unknown"), makeSend(4, "c2", "j1"), makeAnswer(5, "c2", "not_run"), makeAttempt(9, "start", "a1", "j1") };
+    expectNoViolation(history);
+    history[2].outcome = "not_run";
+    expectViolation(history, Invariant::NotRunNeverStarted);
+    // A call sent after the start does not excuse it.
+    expectViolation({ makeInitialList(), makeSend(1, "c1", "j1"), makeAnswer(3, "c1", "not_run"), makeAttempt(9, "start", "a1", "j1"), makeSend(10, "c2", "j1"), makeAnswer(11, "c2", "accepted") }, Invariant::NotRunNeverStarted);
+}
+
 BOOST_AUTO_TEST_CASE(TeamRunsAtMostItsLimit)
 {
     History history { makeInitialList(), makeChange(1, 1, 1), makeAttempt(2, "start", "a1", "j1"), makeAttempt(3, "start", "a2", "j2", "u-2") };
