Log failed readings of the operators' declarations

Callers got answers by an old configuration for 20 s, and no line told that 38 instances could not read the new one. Each series of failures is now logged with the time that the call took, what it ended with, the version in force and its age; metrics give version, age and failures. Reading the declarations moves into a file of its own; nothing else changes.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -2,6 +2,7 @@
 
 #include "src/cell/Advice.h"
 #include "src/cell/Commits.h"
+#include "src/cell/Declarations.h"
 #include "src/cell/Entry.h"
 #include "src/cell/Membership.h"
 #include "src/cell/Ownership.h"
@@ -14,7 +15,6 @@
 
 namespace crocuslever::cell {
 
-static constexpr Duration kDeclarationsInterval = std::chrono::milliseconds(400);
 /// After SIGTERM new calls may arrive until the load balancer has noticed.
 static constexpr Duration kStopServeTime = std::chrono::milliseconds(2500);
 /// A stopping owner waits this long for answers to orders in flight and for commits.
@@ -27,38 +27,6 @@
 {
 }
 
-static void handleDeclarations(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
-{
-    state.isReadingDeclarations = false;
-    if (reply.status != StoreStatus::Ok)
-        return;
-    Declarations read = state.format.decodeDeclarations(reply.entries);
-    if (!read.problem.empty())
-        logMessage(actions, LogLevel::Error, "declarations", "", "", read.problem);
-    state.policyReadAt = now.steady;
-    if (state.evacuated != read.evacuated) {
-        logMessage(actions, LogLevel::Info, "declarations", "", "", std::to_string(read.evacuated.size()) + " failure domains are now evacuated");
-        state.evacuated = read.evacuated;
-        state.placementDue = true;
-    }
-    state.waves = read.waves;
-    bool isNewer = read.policy && (!state.policy || read.policy->version > state.policy->version);
-    if (!isNewer)
-        return;
-    logMessage(actions, LogLevel::Info, "declarations", "", "", "applied configuration version " + std::to_string(read.policy->version) + ", previous version " + std::to_string(state.policy ? state.policy->version : 0));
-    state.policy = read.policy;
-    state.placementDue = true;
-}
-
-static void tickDeclarations(CellState& state, const Instant& now, CellActions& actions)
-{
-    if (state.isReadingDeclarations || now.steady < state.nextDeclarations)
-        return;
-    state.isReadingDeclarations = true;
-    state.nextDeclarations = now.steady + kDeclarationsInterval;
-    readListing(state, Listing::Declarations, handleDeclarations, actions);
-}
-
 namespace {
 
 struct EventHandler {
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -313,6 +313,15 @@
     TimePoint avoidUntil; ///< Backoff after a timeout.
 };
 
+/// Progress of reading the operators' declarations.
+struct DeclarationReader {
+    bool isReading { false };
+    TimePoint sentAt; ///< When the latest call was sent.
+    TimePoint nextRead;
+    TimePoint readAt; ///< Time of the latest answer.
+    int failures { 0 }; ///< Consecutive calls without a usable answer.
+};
+
 using StoreContinuation = std::function<void(CellState&, const StoreReply&, const Instant&, CellActions&)>;
 
 using AdviceContinuation = std::function<void(CellState&, const AdviceResult&, const Instant&, CellActions&)>;
@@ -327,11 +336,9 @@
     Relay relay;
     Ownership ownership;
     std::shared_ptr<const FleetPolicy> policy; ///< Null: no configuration was read yet.
-    TimePoint policyReadAt;
+    DeclarationReader declarations;
     std::set<std::string> evacuated; ///< Failure domains that take no new runs.
     std::vector<MaintenanceWave> waves;
-    bool isReadingDeclarations { false };
-    TimePoint nextDeclarations;
 
     JobTable jobs;
     std::unordered_set<std::string> waitingJobs; ///< Jobs with a waiting task, ready or not.
