Add a failing test of a configuration read over a slow link

38 of 44 instances never read a configuration of 0.9 MB: the call has 700 ms for its whole answer, and their link of 10 Mbit/s takes longer. A second test, which passes, keeps an answer that stalls from being waited for.

--- /dev/null
+++ b/tests/PlatformStoreTest.cpp
@@ -0,0 +1,103 @@
+#include "platform/PlatformStore.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "src/codec/Base64.h"
+#include "tests/support/FakeHttpServer.h"
+#include "tests/support/RunUntil.h"
+
+using namespace crocuslever;
+using namespace crocuslever::testing;
+using cell::StoreReply;
+using cell::StoreStatus;
+
+BOOST_AUTO_TEST_SUITE(PlatformStoreTest)
+
+/// Sends an answer in pieces, as over a link that is slower than the answer is long.
+class SlowAnswer : public std::enable_shared_from_this<SlowAnswer> {
+public:
+    SlowAnswer(boost::asio::io_context& io, ExchangePtr exchange, const std::string& json, std::size_t pieces, Duration interval)
+        : m_timer(io)
+        , m_exchange(std::move(exchange))
+        , m_json(json)
+        , m_pieceBytes(json.size() / pieces + 1)
+        , m_interval(interval)
+    {
+    }
+
+    void send()
+    {
+        m_exchange->startStream();
+        sendPiece();
+    }
+
+private:
+    void sendPiece()
+    {
+        if (m_sent >= m_json.size()) {
+            m_exchange->endStream();
+            return;
+        }
+        m_exchange->sendPiece(m_json.substr(m_sent, m_pieceBytes));
+        m_sent += m_pieceBytes;
+        m_timer.expires_after(m_interval);
+        m_timer.async_wait([self = shared_from_this()](boost::system::error_code) { self->sendPiece(); });
+    }
+
+    boost::asio::steady_timer m_timer;
+    ExchangePtr m_exchange;
+    std::string m_json;
+    std::size_t m_pieceBytes;
+    Duration m_interval;
+    std::size_t m_sent { 0 };
+};
+
+struct StoreFixture {
+    StoreFixture()
+        : server(io, "127.0.0.1", 0)
+        , store(io, server.endpoint(), [this](const cell::CellEvent& event) { reply = std::get<StoreReply>(event); })
+    {
+    }
+
+    void answerSlowly(const std::string& json, std::size_t pieces, Duration interval)
+    {
+        server.route("GET", "/-/kv-range", [this, json, pieces, interval](const ExchangePtr& exchange) { std::make_shared<SlowAnswer>(io, exchange, json, pieces, interval)->send(); });
+    }
+
+    StoreStatus readDeclarations()
+    {
+        store.execute(cell::StoreList { 1, cell::Listing::Declarations, "" });
+        BOOST_REQUIRE(runUntil(io, [this] { return reply.has_value(); }));
+        return reply->status;
+    }
+
+    boost::asio::io_context io;
+    FakeHttpServer server;
+    std::optional<StoreReply> reply;
+    platform::PlatformStore store;
+};
+
+static std::string listingOf(const std::string& value)
+{
+    return R"({"current-rev":7,"has-more":false,"items":[{"key":"op/config","value":")" + encodeBase64(value) + R"(","revision":7}]})";
+}
+
+// A configuration whose transfer took longer than a store call may take was never read.
+BOOST_FIXTURE_TEST_CASE(LargeConfigurationOverASlowLinkIsNeverRead, StoreFixture)
+{
+    answerSlowly(listingOf(std::string(900000, 'x')), 20, std::chrono::milliseconds(60));
+    BOOST_REQUIRE(readDeclarations() == StoreStatus::Ok);
+    BOOST_TEST(reply->entries.at(0).value.size() == 900000U);
+}
+
+// An answer that stops arriving must not be waited for as long as one that goes on.
+BOOST_FIXTURE_TEST_CASE(AnswerThatStallsIsGivenUp, StoreFixture)
+{
+    answerSlowly(listingOf(std::string(900000, 'x')), 2, std::chrono::seconds(20));
+    std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
+    BOOST_TEST((readDeclarations() == StoreStatus::NoAnswer));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < std::chrono::seconds(5)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/FakeHttpServer.cpp
+++ b/tests/support/FakeHttpServer.cpp
@@ -85,6 +85,10 @@
 
     void sendLine(const std::string& json) override { send(formatChunk(json + "\n")); }
 
+    void sendPiece(const std::string& data) override { send(formatChunk(data)); }
+
+    void endStream() override { send(formatChunk("")); }
+
     void drop() override
     {
         error_code ec;
--- a/tests/support/FakeHttpServer.h
+++ b/tests/support/FakeHttpServer.h
@@ -27,6 +27,10 @@
     virtual void startStream() = 0;
     /// Sends one line of the stream, as a chunk of its own.
     virtual void sendLine(const std::string& json) = 0;
+    /// Sends a part of the stream that need not be a line.
+    virtual void sendPiece(const std::string& data) = 0;
+    /// Completes the stream; further requests may follow on the connection.
+    virtual void endStream() = 0;
     /// Closes the connection, even in the middle of an answer.
     virtual void drop() = 0;
     /// False once the connection is closed.
