Let a store answer take as long as it goes on to arrive

Callers got counts and would get answers by a configuration that had been replaced (CONFIG at 70.9 s): 38 of 44 instances never read version 16. Cause: one time limit of 700 ms for the whole call, also for its transfer. An instance with 10 Mbit/s receives 875 KB in it; the listing of 4,200 routes is larger, so each retry ends the same way (class: a limit on time that grows with the data, so that no retry can succeed). Evidence: all 38 on 10 Mbit/s, none of those on 200 Mbit/s; links full, processors at 1 %; the test, which failed with NoAnswer after 700 ms.

The limit now holds to the first bytes, and between any two; the whole transfer has 8 s, enough for the largest value (1 MB, 1.4 MB as base64) over 10 Mbit/s shared with other traffic. A server that stops in the middle is still given up after 700 ms (AnswerThatStallsIsGivenUp). The product's own store client had the same limit and gets the same remedy.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -67,6 +67,7 @@
     std::string peer;
     std::optional<Request> request;
     std::optional<Parser> parser;
+    std::optional<std::chrono::steady_clock::time_point> transferEnd; ///< Set once a part of the answer has arrived.
     Call call;
 };
 
@@ -216,14 +217,37 @@
     {
         connection->parser.emplace();
         connection->parser->body_limit(m_settings.maximumBodyBytes);
-        http::async_read(connection->stream, connection->buf, *connection->parser, [self = shared_from_this(), connection](error_code ec, std::size_t) {
+        connection->parser->eager(true);
+        connection->transferEnd.reset();
+        readSome(connection);
+    }
+
+    void readSome(const ConnectionPtr& connection)
+    {
+        http::async_read_some(connection->stream, connection->buf, *connection->parser, [self = shared_from_this(), connection](error_code ec, std::size_t) {
             if (ec)
                 self->failCall(connection, ec);
-            else
+            else if (connection->parser->is_done())
                 self->finishRead(connection);
+            else
+                self->readMore(connection);
         });
     }
 
+    /// A large answer over a slow link may take long, as long as it goes on to arrive.
+    void readMore(const ConnectionPtr& connection)
+    {
+        if (m_stopped)
+            return;
+        if (m_settings.transferTimeout > Duration(0)) {
+            std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+            if (!connection->transferEnd)
+                connection->transferEnd = now + m_settings.transferTimeout;
+            connection->stream.expires_at(std::min(now + m_settings.timeout, *connection->transferEnd));
+        }
+        readSome(connection);
+    }
+
     void failCall(const ConnectionPtr& connection, const error_code& ec)
     {
         ErrorCode code = toErrorCode(ec);
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -33,9 +33,11 @@
 
 struct HttpClientSettings {
     std::vector<std::string> endpoints; ///< "IP:port"; after a failure the client moves to the next one.
-    Duration timeout { std::chrono::seconds(2) }; ///< From the connect to the end of the answer.
+    /// From the connect to the end of the answer; if `transferTimeout` is set, to its first bytes, and between any two.
+    Duration timeout { std::chrono::seconds(2) };
     std::size_t maximumConnections { 4 }; ///< Further calls are queued.
     std::uint64_t maximumBodyBytes { 1048576 }; ///< Limit of an answer's body.
+    Duration transferTimeout { 0 }; ///< From the first bytes of an answer to its end; 0: within `timeout`.
 };
 
 /// Sends calls to one service over keep-alive connections. Each connection carries one call at a time
--- a/src/store/StoreClient.cpp
+++ b/src/store/StoreClient.cpp
@@ -11,6 +11,8 @@
 
 static constexpr int kPageLimit = 500; ///< Keys per page; halved when an answer exceeds kMaximumAnswerBytes.
 static constexpr std::uint64_t kMaximumAnswerBytes = 33554432;
+/// For an answer of the largest size over a slow link.
+static constexpr Duration kTransferTimeout = std::chrono::seconds(8);
 static constexpr std::size_t kReadConnections = 4;
 static constexpr std::size_t kWriteConnections = 2;
 static constexpr std::size_t kLeaseConnections = 2;
@@ -18,7 +20,7 @@
 
 static HttpClientSettings clientSettings(const StoreClientSettings& settings, std::size_t connections)
 {
-    return { settings.endpoints, settings.timeout, connections, kMaximumAnswerBytes };
+    return { settings.endpoints, settings.timeout, connections, kMaximumAnswerBytes, kTransferTimeout };
 }
 
 namespace {
