Watch the operators' declarations in place of reading them 2.5 times a second

This hid behind the time limit: with it mended alone, a configuration of 1 MB would be read without a pause, and a new one would wait for the end of the reading in flight. Cause: what has not changed is read again and again (class: work that grows with the state, not with its changes).

The declarations are listed once and then watched; an event brings each change, and the configuration is decoded once a version. Within one answer the last event of a key counts.

Found by DomainStaysEvacuatedAfterAnOutage: while all peers were in backoff, relayed calls went to no address and waited for their timeout. They now go to the store directly.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -313,8 +313,11 @@
     TimePoint avoidUntil; ///< Backoff after a timeout.
 };
 
-/// Progress of reading the operators' declarations.
+/// The operators' declarations, which are listed once and then watched.
 struct DeclarationReader {
+    std::map<std::string, EvacuatedDomain> evacuated; ///< By store key.
+    std::map<std::string, MaintenanceWave> waves; ///< By store key.
+    StoreRevision revision { 0 }; ///< The watch continues after this revision; 0: they have to be listed.
     bool isReading { false };
     TimePoint sentAt; ///< When the latest call was sent.
     TimePoint nextRead;
@@ -338,7 +341,6 @@
     std::shared_ptr<const FleetPolicy> policy; ///< Null: no configuration was read yet.
     DeclarationReader declarations;
     std::set<std::string> evacuated; ///< Failure domains that take no new runs.
-    std::vector<MaintenanceWave> waves;
 
     JobTable jobs;
     std::unordered_set<std::string> waitingJobs; ///< Jobs with a waiting task, ready or not.
--- a/src/cell/Messages.h
+++ b/src/cell/Messages.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "crocuslever/Error.h"
 #include "crocuslever/Events.h"
 #include "crocuslever/StoreProtocol.h"
 #include "src/cell/FleetPolicy.h"
@@ -86,10 +87,11 @@
     std::string prefix; ///< Only for OwnKeys.
 };
 
-/// Waits once, for at most `wait`, for changes below `prefix` after `revision`.
+/// Waits once, for at most `wait`, for changes of a listing after `revision`.
 struct StoreAwait {
     Ticket ticket { 0 };
-    std::string prefix;
+    Listing of { Listing::OwnKeys };
+    std::string prefix; ///< Only for OwnKeys.
     StoreRevision revision { 0 };
     Duration wait { 0 };
 };
@@ -122,7 +124,7 @@
     StoreStatus status { StoreStatus::NoAnswer };
     StoreRevision revision { 0 }; ///< Revision of the change, or of the store when the first page was read.
     std::vector<StoreEntry> entries; ///< Read, listed or changed; after a conflict, those of the conditions.
-    std::vector<std::string> deleted; ///< Keys deleted during a wait.
+    std::vector<std::string> deleted; ///< Keys deleted during a wait and not written again.
     LeaseId lease { 0 };
 };
 
@@ -136,13 +138,14 @@
     int maximumConcurrent { 1 }; ///< Machines in maintenance at a time.
 };
 
-struct Declarations {
-    std::shared_ptr<const FleetPolicy> policy; ///< Null: missing or unreadable.
-    std::set<std::string> evacuated; ///< Failure domains.
-    std::vector<MaintenanceWave> waves;
-    std::string problem; ///< Describes what could not be parsed; empty: no error.
+/// A failure domain that takes no new runs.
+struct EvacuatedDomain {
+    std::string name;
 };
 
+/// One entry of the operators' declarations. An Error: it could not be parsed.
+using Declaration = std::variant<std::shared_ptr<const FleetPolicy>, EvacuatedDomain, MaintenanceWave, Error>;
+
 struct DirectoryEntry {
     std::string id;
     std::string service;
@@ -163,7 +166,8 @@
 
 /// Decoders of the records that the platform writes to the store.
 struct StoreFormat {
-    std::function<Declarations(const std::vector<StoreEntry>&)> decodeDeclarations;
+    /// Unset for an entry that declares nothing this version knows.
+    std::function<std::optional<Declaration>(const StoreEntry&)> decodeDeclaration;
     std::function<Directory(const std::vector<StoreEntry>&)> decodeDirectory;
 };
 
--- a/src/cell/Relay.cpp
+++ b/src/cell/Relay.cpp
@@ -14,6 +14,8 @@
 static constexpr Duration kRefusalPause = std::chrono::milliseconds(300); ///< Backoff for a peer that does not reach the store either.
 static constexpr Duration kTimeoutPause = std::chrono::milliseconds(3000); ///< Backoff for a peer that does not answer.
 static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(700); ///< Added to the wait of the call.
+/// Added to the answer timeout of the declarations, which may be large and pass two slow links.
+static constexpr Duration kDeclarationsTransferTime = std::chrono::milliseconds(3000);
 
 // Message encoding.
 
@@ -34,6 +36,7 @@
 {
     out.set_kind(wire::StoreQuery::AWAIT);
     out.set_key(call.prefix);
+    out.set_listing(static_cast<int>(call.of));
     out.set_revision(call.revision);
     out.set_duration_ms(toMilliseconds(call.wait));
 }
@@ -138,7 +141,10 @@
             readListing(state, static_cast<Listing>(body.listing()), answer, actions);
         return;
     case wire::StoreQuery::AWAIT:
-        awaitChanges(state, body.key(), body.revision(), fromMilliseconds(body.duration_ms()), answer, actions);
+        if (body.listing() == static_cast<int>(Listing::OwnKeys))
+            awaitChanges(state, body.key(), body.revision(), fromMilliseconds(body.duration_ms()), answer, actions);
+        else
+            awaitListingChanges(state, static_cast<Listing>(body.listing()), body.revision(), fromMilliseconds(body.duration_ms()), answer, actions);
         return;
     case wire::StoreQuery::CHANGE:
         sendChange(state, decodeChange(body), answer, actions);
@@ -211,7 +217,11 @@
     const Instant& now;
     CellActions& out;
 
-    bool isDirect(Ticket ticket) const { return ticket == state.relay.probe || state.relay.relayedTickets.count(ticket) > 0; }
+    bool isDirect(Ticket ticket) const
+    {
+        const Relay& relay = state.relay;
+        return ticket == relay.probe || relay.peer.empty() || relay.relayedTickets.count(ticket) > 0;
+    }
 
     template <typename Call>
     void redirect(const Call& call, Duration wait = Duration(0))
@@ -223,7 +233,7 @@
     }
 
     void operator()(const StoreRead& call) { redirect(call); }
-    void operator()(const StoreList& call) { redirect(call); }
+    void operator()(const StoreList& call) { redirect(call, call.of == Listing::Declarations ? kDeclarationsTransferTime : Duration(0)); }
     void operator()(const StoreAwait& call) { redirect(call, call.wait); }
     void operator()(const StoreChange& call) { redirect(call); }
     void operator()(const LeaseGrant& call) { redirect(call); }
@@ -266,6 +276,8 @@
     }
     if (!relay.isOn)
         return;
+    if (relay.peer.empty())
+        relay.peer = choosePeer(state, now.steady);
     probe(state, now, actions);
     CellActions redirected;
     for (const CellAction& action : actions)
--- a/src/cell/StoreCalls.cpp
+++ b/src/cell/StoreCalls.cpp
@@ -36,10 +36,15 @@
 Ticket awaitChanges(CellState& state, const std::string& prefix, StoreRevision revision, Duration wait, StoreContinuation then, CellActions& actions)
 {
     Ticket ticket = registerContinuation(state, std::move(then));
-    actions.push_back(StoreAwait { ticket, prefix, revision, wait });
+    actions.push_back(StoreAwait { ticket, Listing::OwnKeys, prefix, revision, wait });
     return ticket;
 }
 
+void awaitListingChanges(CellState& state, Listing of, StoreRevision revision, Duration wait, StoreContinuation then, CellActions& actions)
+{
+    actions.push_back(StoreAwait { registerContinuation(state, std::move(then)), of, "", revision, wait });
+}
+
 void grantLease(CellState& state, Duration timeToLive, StoreContinuation then, CellActions& actions)
 {
     actions.push_back(LeaseGrant { registerContinuation(state, std::move(then)), timeToLive });
--- a/src/cell/StoreCalls.h
+++ b/src/cell/StoreCalls.h
@@ -15,6 +15,8 @@
 void sendChange(CellState&, StoreChange, StoreContinuation, CellActions&);
 /// Waits up to `wait` for changes below `prefix` after the revision. Returns the ticket of the call.
 Ticket awaitChanges(CellState&, const std::string& prefix, StoreRevision, Duration wait, StoreContinuation, CellActions&);
+/// The same for a listing; use awaitChanges() for OwnKeys.
+void awaitListingChanges(CellState&, Listing, StoreRevision, Duration wait, StoreContinuation, CellActions&);
 void grantLease(CellState&, Duration timeToLive, StoreContinuation, CellActions&);
 void renewLease(CellState&, LeaseId, StoreContinuation, CellActions&);
 
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -219,7 +219,7 @@
 /// The core of one instance, whose store calls the test answers.
 struct StoreCallsFixture {
     StoreCallsFixture(const std::string& instance, std::int64_t milliCpu)
-        : state(makeSettings(instance, milliCpu), StoreFormat { [](const std::vector<StoreEntry>&) { return Declarations {}; }, [](const std::vector<StoreEntry>&) { return Directory {}; } })
+        : state(makeSettings(instance, milliCpu), StoreFormat { [](const StoreEntry&) { return std::optional<Declaration>(); }, [](const std::vector<StoreEntry>&) { return Directory {}; } })
     {
     }
 
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -100,4 +100,19 @@
     BOOST_TEST((std::chrono::steady_clock::now() - begin < std::chrono::seconds(5)));
 }
 
+// A domain that was taken back and evacuated again within one answer counted as taken back.
+BOOST_FIXTURE_TEST_CASE(KeyWrittenAgainAfterItsDeletionIsDeleted, StoreFixture)
+{
+    const std::string events = R"({"current-rev":9,"events":[
+        {"key":"op/evacuate/a","revision":7,"deleted":true},
+        {"key":"op/evacuate/a","value":"","revision":8},
+        {"key":"op/evacuate/b","value":"","revision":8},
+        {"key":"op/evacuate/b","revision":9,"deleted":true}]})";
+    server.route("GET", "/-/kv-watch?prefix=op/&after=6", [events](const ExchangePtr& exchange) { exchange->reply(200, events); });
+    store.execute(cell::StoreAwait { 1, cell::Listing::Declarations, "", 6, std::chrono::milliseconds(100) });
+    BOOST_REQUIRE(runUntil(io, [this] { return reply.has_value(); }));
+    BOOST_TEST(reply->revision == 9);
+    BOOST_TEST(reply->deleted == std::vector<std::string> { "op/evacuate/b" });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -66,7 +66,7 @@
     settings.seed = m_random();
     // Declarations and directory are not stored; the decoders return them directly.
     StoreFormat format;
-    format.decodeDeclarations = [this](const std::vector<StoreEntry>&) { return declarations(); };
+    format.decodeDeclaration = [this](const StoreEntry& entry) { return decodeDeclaration(entry); };
     format.decodeDirectory = [this](const std::vector<StoreEntry>&) { return directory(); };
     slot.state = std::make_unique<CellState>(settings, format);
     int incarnation = slot.incarnations;
@@ -270,12 +270,44 @@
         return;
     }
     StoreReply reply = call.of == Listing::OwnKeys ? readStore(call.prefix, false) : StoreReply {};
+    if (call.of == Listing::Declarations) {
+        recordDeclarationChanges();
+        reply.revision = m_declarationRevision;
+        reply.entries = declarationEntries();
+        ++m_configurationsRead;
+    }
     reply.status = StoreStatus::Ok;
     reply.ticket = call.ticket;
     deliver(caller, latency(3, 8), reply);
 }
 
-void CellEmulator::perform(const Caller& caller, const StoreAwait& call) { awaitStore(caller, call, now() + call.wait); }
+void CellEmulator::perform(const Caller& caller, const StoreAwait& call)
+{
+    if (call.of == Listing::Declarations)
+        awaitDeclarations(caller, call, now() + call.wait);
+    else
+        awaitStore(caller, call, now() + call.wait);
+}
+
+void CellEmulator::awaitDeclarations(const Caller& caller, const StoreAwait& call, TimePoint deadline)
+{
+    if (isStoreUnavailable(caller.instance)) {
+        failStoreCall(caller, call.ticket, StoreStatus::NoAnswer);
+        return;
+    }
+    recordDeclarationChanges();
+    if (call.revision < m_historyStart) {
+        failStoreCall(caller, call.ticket, StoreStatus::HistoryLost);
+        return;
+    }
+    if (call.revision == m_declarationRevision && now() < deadline) {
+        m_queue.after(kPollInterval, [this, caller, call, deadline] { awaitDeclarations(caller, call, deadline); });
+        return;
+    }
+    StoreReply reply = declarationChanges(call.revision);
+    reply.ticket = call.ticket;
+    deliver(caller, latency(2, 4), reply);
+}
 
 void CellEmulator::awaitStore(const Caller& caller, const StoreAwait& call, TimePoint deadline)
 {
@@ -386,12 +418,64 @@
         m_store.revokeLease(call.lease);
 }
 
-Declarations CellEmulator::declarations() const
+static constexpr const char* kPolicyKey = "policy";
+static const std::string kEvacuatedPrefix = "evacuated/";
+
+std::vector<StoreEntry> CellEmulator::declarationEntries() const
 {
-    Declarations read;
-    read.policy = std::make_shared<const FleetPolicy>(m_policy);
-    read.evacuated = m_evacuated;
-    return read;
+    std::vector<StoreEntry> entries { { kPolicyKey, std::to_string(m_policy.version), 0 } };
+    for (const std::string& domain : m_evacuated)
+        entries.push_back({ kEvacuatedPrefix + domain, "", 0 });
+    return entries;
+}
+
+std::optional<Declaration> CellEmulator::decodeDeclaration(const StoreEntry& entry) const
+{
+    if (entry.key == kPolicyKey)
+        return std::make_shared<const FleetPolicy>(m_policy);
+    return EvacuatedDomain { entry.key.substr(kEvacuatedPrefix.size()) };
+}
+
+/// Tests change the declarations directly, so changes are found by comparison.
+void CellEmulator::recordDeclarationChanges()
+{
+    std::map<std::string, StoreEntry> current;
+    for (const StoreEntry& entry : declarationEntries())
+        current[entry.key] = entry;
+    for (const auto& [key, entry] : current) {
+        auto it = m_declared.find(key);
+        if (it == m_declared.end() || it->second.value != entry.value)
+            m_declarationChanges.push_back({ ++m_declarationRevision, entry, false });
+    }
+    for (const auto& [key, entry] : m_declared) {
+        if (current.count(key) == 0)
+            m_declarationChanges.push_back({ ++m_declarationRevision, entry, true });
+    }
+    m_declared = std::move(current);
+}
+
+StoreReply CellEmulator::declarationChanges(StoreRevision after)
+{
+    StoreReply reply;
+    reply.status = StoreStatus::Ok;
+    reply.revision = m_declarationRevision;
+    for (const DeclarationChange& change : m_declarationChanges) {
+        if (change.revision <= after)
+            continue;
+        m_configurationsRead += change.entry.key == kPolicyKey ? 1 : 0;
+        if (change.isDeleted)
+            reply.deleted.push_back(change.entry.key);
+        else
+            reply.entries.push_back(change.entry);
+    }
+    return reply;
+}
+
+void CellEmulator::forgetHistory()
+{
+    recordDeclarationChanges();
+    m_historyStart = ++m_declarationRevision;
+    m_declarationChanges.clear();
 }
 
 Directory CellEmulator::directory() const
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -64,6 +64,8 @@
     /// Records the last frame between instances for repeatLastFrame().
     void keepLastFrame(bool isKept) { m_keepsLastFrame = isKept; }
     void repeatLastFrame(std::size_t instance) { deliver({ instance, m_instances[instance].incarnations }, Duration(0), PeerFrame { "", m_lastFrame }); }
+    /// The store forgets the changes so far, so that waits for changes since then fail.
+    void forgetHistory();
     void setStoreDown(bool isDown) { m_storeDown = isDown; }
     void cutUpstream(const std::string& id, bool isCut) { m_upstreams.at(id).isCut = isCut; }
     void crashUpstream(const std::string& id);
@@ -79,6 +81,8 @@
     /// Number of run ends in the answers of all upstreams; repeated ends count each time.
     std::int64_t endsListed() const { return m_endsListed; }
     Duration adviceBusy() const { return m_adviceBusy; }
+    /// Number of configurations in the store's answers to all instances.
+    int configurationsRead() const { return m_configurationsRead; }
 
 private:
     struct InstanceSlot {
@@ -102,7 +106,10 @@
         int incarnation { 0 };
     };
 
-    Declarations declarations() const;
+    std::vector<StoreEntry> declarationEntries() const;
+    std::optional<Declaration> decodeDeclaration(const StoreEntry&) const;
+    void recordDeclarationChanges();
+    StoreReply declarationChanges(StoreRevision after);
     Directory directory() const;
     void boot(std::size_t instance);
     void advanceUpstreams();
@@ -134,6 +141,7 @@
 
     StoreReply readStore(const std::string& prefix, bool isSingle);
     void awaitStore(const Caller&, const StoreAwait&, TimePoint deadline);
+    void awaitDeclarations(const Caller&, const StoreAwait&, TimePoint deadline);
     void awaitEnd(const Caller&, const UpstreamPoll&, std::int64_t bornMs, TimePoint deadline);
     template <typename Order>
     void deliverOrder(const Caller&, const Order&);
@@ -145,6 +153,16 @@
     bool m_storeDown { false };
     FleetPolicy m_policy;
     std::set<std::string> m_evacuated;
+    struct DeclarationChange {
+        StoreRevision revision { 0 };
+        StoreEntry entry;
+        bool isDeleted { false };
+    };
+    std::map<std::string, StoreEntry> m_declared; ///< The declarations when changes were last recorded.
+    std::vector<DeclarationChange> m_declarationChanges;
+    StoreRevision m_declarationRevision { 1 };
+    StoreRevision m_historyStart { 0 }; ///< Changes up to this revision are forgotten.
+    int m_configurationsRead { 0 };
     std::vector<InstanceSlot> m_instances;
     std::map<std::string, UpstreamSlot> m_upstreams;
     std::map<Connection, std::int64_t> m_connectedIncarnations; ///< Upstream incarnation behind each poll connection.
