Do not move a watch past changes that the store has not delivered

What callers would see: a configuration that never comes into force. An answer without changes that names a later revision moved the watch past the change, and no later call asked for it (class: an answer without news taken for proof that there is none). The position now moves on after 5 s only, within which a store that drops changes refuses the old position, so that the declarations are listed again.

Before: ChangeIsSkippedByAnAnswerWithoutIt fails when each answer moves the position; with the change it passes.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -313,11 +313,18 @@
     TimePoint avoidUntil; ///< Backoff after a timeout.
 };
 
+/// Position of a watch: the next call asks for changes after `revision`.
+struct WatchPosition {
+    StoreRevision revision { 0 }; ///< 0: the range has to be read first.
+    StoreRevision quietRevision { 0 }; ///< Revision of an earlier answer without changes; 0: none.
+    TimePoint quietSince; ///< When that answer arrived.
+};
+
 /// The operators' declarations, which are listed once and then watched.
 struct DeclarationReader {
     std::map<std::string, EvacuatedDomain> evacuated; ///< By store key.
     std::map<std::string, MaintenanceWave> waves; ///< By store key.
-    StoreRevision revision { 0 }; ///< The watch continues after this revision; 0: they have to be listed.
+    WatchPosition watch;
     bool isReading { false };
     TimePoint sentAt; ///< When the latest call was sent.
     TimePoint nextRead;
--- a/src/cell/Declarations.cpp
+++ b/src/cell/Declarations.cpp
@@ -105,7 +105,7 @@
     if (!beginReply(state, reply, now, actions))
         return;
     DeclarationReader& reader = state.declarations;
-    reader.revision = reply.revision;
+    reader.watch = { reply.revision, 0, {} };
     reader.evacuated.clear();
     reader.waves.clear();
     applyEntries(state, reply.entries, actions);
@@ -118,12 +118,12 @@
     if (!beginReply(state, reply, now, actions)) {
         bool mustList = reply.status == StoreStatus::HistoryLost || reader.failures >= kFailuresUntilListing;
         if (mustList)
-            reader.revision = 0;
+            reader.watch = {};
         if (reply.status == StoreStatus::HistoryLost)
             reader.nextRead = now.steady;
         return;
     }
-    reader.revision = std::max(reader.revision, reply.revision);
+    advanceWatch(reader.watch, reply, now.steady);
     applyEntries(state, reply.entries, actions);
     for (const std::string& key : reply.deleted) {
         reader.evacuated.erase(key);
@@ -139,10 +139,10 @@
         return;
     reader.isReading = true;
     reader.sentAt = now.steady;
-    if (reader.revision == 0)
+    if (reader.watch.revision == 0)
         readListing(state, Listing::Declarations, handleListing, actions);
     else
-        awaitListingChanges(state, Listing::Declarations, reader.revision, kWatchWait, handleChanges, actions);
+        awaitListingChanges(state, Listing::Declarations, reader.watch.revision, kWatchWait, handleChanges, actions);
 }
 
 } // namespace crocuslever::cell
--- a/src/cell/StoreCalls.cpp
+++ b/src/cell/StoreCalls.cpp
@@ -1,8 +1,12 @@
 #include "src/cell/StoreCalls.h"
 
+#include <algorithm>
+
 namespace crocuslever::cell {
 
 static constexpr int kFailuresUntilUnreachable = 3;
+/// A store that loses its history delivers changes late or not at all, but says so within this time.
+static constexpr Duration kWatchSettlingTime = std::chrono::seconds(5);
 
 static Ticket registerContinuation(CellState& state, StoreContinuation then)
 {
@@ -45,6 +49,22 @@
     actions.push_back(StoreAwait { registerContinuation(state, std::move(then)), of, "", revision, wait });
 }
 
+/// An answer without changes does not move the position at once: its revision may pass changes that the store has
+/// not delivered. A store that drops them refuses the old position later, but would accept the new one.
+void advanceWatch(WatchPosition& position, const StoreReply& reply, TimePoint now)
+{
+    bool hasChanges = !reply.entries.empty() || !reply.deleted.empty();
+    if (hasChanges) {
+        position = { std::max(position.revision, reply.revision), 0, {} };
+        return;
+    }
+    if (position.quietRevision != 0 && now - position.quietSince < kWatchSettlingTime)
+        return;
+    position.revision = std::max(position.revision, position.quietRevision);
+    position.quietRevision = reply.revision;
+    position.quietSince = now;
+}
+
 void grantLease(CellState& state, Duration timeToLive, StoreContinuation then, CellActions& actions)
 {
     actions.push_back(LeaseGrant { registerContinuation(state, std::move(then)), timeToLive });
--- a/src/cell/StoreCalls.h
+++ b/src/cell/StoreCalls.h
@@ -17,6 +17,8 @@
 Ticket awaitChanges(CellState&, const std::string& prefix, StoreRevision, Duration wait, StoreContinuation, CellActions&);
 /// The same for a listing; use awaitChanges() for OwnKeys.
 void awaitListingChanges(CellState&, Listing, StoreRevision, Duration wait, StoreContinuation, CellActions&);
+/// Advances the position after a successful answer to a wait.
+void advanceWatch(WatchPosition&, const StoreReply&, TimePoint now);
 void grantLease(CellState&, Duration timeToLive, StoreContinuation, CellActions&);
 void renewLease(CellState&, LeaseId, StoreContinuation, CellActions&);
 
--- a/tests/DeclarationsTest.cpp
+++ b/tests/DeclarationsTest.cpp
@@ -55,6 +55,18 @@
     BOOST_TEST(cell.emulator.core(cell.owner()).evacuated.count("domain-1") == 1U);
 }
 
+// Watches heard nothing of a change, answered with a revision after it, and the store dropped the change.
+BOOST_AUTO_TEST_CASE(ChangeIsSkippedByAnAnswerWithoutIt)
+{
+    CellFixture cell;
+    cell.emulator.setWatchesDeaf(true);
+    cell.emulator.policy().version = 2;
+    cell.emulator.runFor(std::chrono::seconds(1));
+    cell.emulator.forgetHistory();
+    cell.emulator.setWatchesDeaf(false);
+    BOOST_TEST(waitInForce(cell, 2));
+}
+
 // A domain that was taken back while the watch failed must not stay evacuated.
 BOOST_AUTO_TEST_CASE(DomainStaysEvacuatedAfterAnOutage)
 {
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -300,11 +300,12 @@
         failStoreCall(caller, call.ticket, StoreStatus::HistoryLost);
         return;
     }
-    if (call.revision == m_declarationRevision && now() < deadline) {
+    bool hasChanges = call.revision < m_declarationRevision && !m_areWatchesDeaf;
+    if (!hasChanges && now() < deadline) {
         m_queue.after(kPollInterval, [this, caller, call, deadline] { awaitDeclarations(caller, call, deadline); });
         return;
     }
-    StoreReply reply = declarationChanges(call.revision);
+    StoreReply reply = declarationChanges(hasChanges ? call.revision : m_declarationRevision);
     reply.ticket = call.ticket;
     deliver(caller, latency(2, 4), reply);
 }
@@ -474,7 +475,7 @@
 void CellEmulator::forgetHistory()
 {
     recordDeclarationChanges();
-    m_historyStart = ++m_declarationRevision;
+    m_historyStart = m_declarationRevision;
     m_declarationChanges.clear();
 }
 
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -64,6 +64,8 @@
     /// Records the last frame between instances for repeatLastFrame().
     void keepLastFrame(bool isKept) { m_keepsLastFrame = isKept; }
     void repeatLastFrame(std::size_t instance) { deliver({ instance, m_instances[instance].incarnations }, Duration(0), PeerFrame { "", m_lastFrame }); }
+    /// While deaf, waits at the store end without the changes that are made, but with its current revision.
+    void setWatchesDeaf(bool areDeaf) { m_areWatchesDeaf = areDeaf; }
     /// The store forgets the changes so far, so that waits for changes since then fail.
     void forgetHistory();
     void setStoreDown(bool isDown) { m_storeDown = isDown; }
@@ -163,6 +165,7 @@
     StoreRevision m_declarationRevision { 1 };
     StoreRevision m_historyStart { 0 }; ///< Changes up to this revision are forgotten.
     int m_configurationsRead { 0 };
+    bool m_areWatchesDeaf { false };
     std::vector<InstanceSlot> m_instances;
     std::map<std::string, UpstreamSlot> m_upstreams;
     std::map<Connection, std::int64_t> m_connectedIncarnations; ///< Upstream incarnation behind each poll connection.
