Find routes by index

Routes are now found by name, and by host and prefix for each length of a prefix. How much of the lateness this explains is not measured.

Before: LookupsGoThroughAllRoutes fails with the old functions, compiled alone; now it passes.

--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -78,9 +78,10 @@
             std::string id = "u" + std::to_string(n);
             directory.entries.push_back({ id, "service", id + ":1", "domain-" + std::to_string(n % 3), false, Duration(0), kCapacity, {}, "rack-" + std::to_string(n / 8), 1 });
         }
+        indexRoutes(policy);
         auto shared = std::make_shared<const FleetPolicy>(policy);
         StoreFormat format;
-        format.decodeDeclarations = [shared](const std::vector<StoreEntry>&) { return Declarations { shared, {}, {}, "" }; };
+        format.decodeDeclaration = [shared](const StoreEntry&) { return std::optional<Declaration>(shared); };
         format.decodeDirectory = [directory](const std::vector<StoreEntry>&) { return directory; };
         return format;
     }
@@ -161,9 +162,8 @@
         events.push({ now + kRoundTrip, result });
     }
 
-    void answerStore(Ticket ticket)
+    void answerStore(Ticket ticket, StoreReply reply = {})
     {
-        StoreReply reply;
         reply.ticket = ticket;
         reply.status = StoreStatus::Ok;
         reply.revision = ++revision;
@@ -171,9 +171,19 @@
         events.push({ now + kRoundTrip, reply });
     }
 
-    void perform(const StoreAwait& call) { watch = call; }
+    void perform(const StoreAwait& call)
+    {
+        if (call.of == Listing::OwnKeys)
+            watch = call;
+    }
     void perform(const StoreRead& call) { answerStore(call.ticket); }
-    void perform(const StoreList& call) { answerStore(call.ticket); }
+    void perform(const StoreList& call)
+    {
+        StoreReply reply;
+        if (call.of == Listing::Declarations)
+            reply.entries.push_back({ "policy", "", 1 });
+        answerStore(call.ticket, reply);
+    }
     void perform(const StoreChange& call) { answerStore(call.ticket); }
     void perform(const LeaseGrant& call) { answerStore(call.ticket); }
     void perform(const LeaseRenew& call) { answerStore(call.ticket); }
--- a/src/cell/FleetPolicy.cpp
+++ b/src/cell/FleetPolicy.cpp
@@ -2,29 +2,37 @@
 
 namespace crocuslever::cell {
 
-static bool startsWith(const std::string& text, const std::string& prefix)
+static std::string placeKey(const std::string& host, const std::string& prefix) { return host + ' ' + prefix; }
+
+void indexRoutes(FleetPolicy& policy)
 {
-    return text.compare(0, prefix.size(), prefix) == 0;
+    policy.routeOfName.clear();
+    policy.routeOfPlace.clear();
+    policy.prefixLengths.clear();
+    for (std::size_t i = 0; i < policy.routes.size(); ++i) {
+        const Route& route = policy.routes[i];
+        policy.routeOfName.emplace(route.name, i);
+        policy.routeOfPlace.emplace(placeKey(route.host, route.prefix), i);
+        policy.prefixLengths.insert(route.prefix.size());
+    }
 }
 
 const Route* findRoute(const FleetPolicy& policy, const std::string& host, const std::string& path)
 {
-    const Route* best = nullptr;
-    for (const Route& route : policy.routes) {
-        bool matches = route.host == host && startsWith(path, route.prefix);
-        if (matches && (!best || route.prefix.size() > best->prefix.size()))
-            best = &route;
+    for (std::size_t length : policy.prefixLengths) {
+        if (length > path.size())
+            continue;
+        auto it = policy.routeOfPlace.find(placeKey(host, path.substr(0, length)));
+        if (it != policy.routeOfPlace.end())
+            return &policy.routes[it->second];
     }
-    return best;
+    return nullptr;
 }
 
 const Route* findRouteByName(const FleetPolicy& policy, const std::string& name)
 {
-    for (const Route& route : policy.routes) {
-        if (route.name == name)
-            return &route;
-    }
-    return nullptr;
+    auto it = policy.routeOfName.find(name);
+    return it == policy.routeOfName.end() ? nullptr : &policy.routes[it->second];
 }
 
 const Team* findTeamOfKey(const FleetPolicy& policy, const std::string& key)
--- a/src/cell/FleetPolicy.h
+++ b/src/cell/FleetPolicy.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "crocuslever/Resources.h"
@@ -53,8 +55,16 @@
     std::map<std::string, Team> teams;
     std::map<std::string, std::string> teamOfKey;
     std::int64_t maximumBodyBytes { 0 };
+
+    // Indexes into `routes`; see indexRoutes().
+    std::unordered_map<std::string, std::size_t> routeOfName;
+    std::unordered_map<std::string, std::size_t> routeOfPlace; ///< By host and prefix.
+    std::set<std::size_t, std::greater<>> prefixLengths;
 };
 
+/// Builds the indexes. To be called after each change of the routes; the functions below need them.
+void indexRoutes(FleetPolicy&);
+
 /// The route of the host with the longest prefix of `path`; null: none.
 const Route* findRoute(const FleetPolicy&, const std::string& host, const std::string& path);
 const Route* findRouteByName(const FleetPolicy&, const std::string& name);
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -432,8 +432,11 @@
 
 std::optional<Declaration> CellEmulator::decodeDeclaration(const StoreEntry& entry) const
 {
-    if (entry.key == kPolicyKey)
-        return std::make_shared<const FleetPolicy>(m_policy);
+    if (entry.key == kPolicyKey) {
+        std::shared_ptr<FleetPolicy> policy = std::make_shared<FleetPolicy>(m_policy);
+        indexRoutes(*policy);
+        return policy;
+    }
     return EvacuatedDomain { entry.key.substr(kEvacuatedPrefix.size()) };
 }
 
