Count unseen runs against a team's limit after a takeover

Cause: a new owner counts only runs that upstreams have listed to it. Until it has polled all of them, or the earlier leases are over, tasks of earlier jobs wait as they may run out of reach, yet they were not counted, so that jobs accepted after the takeover were started up to the whole limit once more (class: what one look shows is taken for the state).

Tasks of earlier jobs that no upstream lists are now held against their team's limit, up to the capacity of the upstreams that have not answered, until all earlier runs are known. Teams with nothing unaccounted for start at once (OtherTeamWaitsForUnreachableUpstreams).

--- a/include/crocuslever/Resources.h
+++ b/include/crocuslever/Resources.h
@@ -25,6 +25,8 @@
 Resources operator-(const Resources&, const Resources&);
 /// The element-wise maximum.
 Resources maximum(const Resources&, const Resources&);
+/// The element-wise minimum.
+Resources minimum(const Resources&, const Resources&);
 /// The largest fraction that any amount of `part` is of the same amount of `whole`.
 /// Amounts of which `whole` has none count as 0.
 double dominantFraction(const Resources& part, const Resources& whole);
--- a/src/cell/Candidate.cpp
+++ b/src/cell/Candidate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/cell/Jobs.h"
+#include "src/cell/UnseenUse.h"
 
 namespace crocuslever::cell {
 
@@ -30,12 +31,6 @@
     return job.hasStarted || ageMs + criticalPathMs <= objectiveMs ? Timeliness::InTime : Timeliness::Late;
 }
 
-/// True if an earlier owner may have started tasks of the job on an upstream that was not polled yet.
-static bool mayHaveUnknownRun(const CellState& state, const JobRow& job)
-{
-    return !state.ownership.areEarlierRunsKnown && job.revision <= state.ownership.epochRevision;
-}
-
 static void addCandidates(const CellState& state, JobRow& job, const Instant& now, std::vector<Candidate>& all)
 {
     const Route* route = findRouteByName(*state.policy, job.record.route);
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -236,6 +236,8 @@
     TimePoint earlierRunsEnd; ///< Leases of all runs started by earlier owners have expired by then.
     int readsLeft { 0 }; ///< Outstanding reads of the recovery.
     bool areEarlierRunsKnown { false }; ///< Every run started by an earlier owner is known or has ended.
+    /// Until then, by team: the most that its runs of earlier owners may hold on upstreams that have not been polled.
+    std::map<std::string, Resources> unseenUse;
     StoreRevision knownUpstreamsRevision { 0 }; ///< Revision of the record of known upstreams.
     bool isKnownUpstreamsStale { false }; ///< Upstreams were added, removed or restarted since that record was written.
     bool storingKnownUpstreams { false };
--- a/src/cell/Fit.cpp
+++ b/src/cell/Fit.cpp
@@ -41,7 +41,10 @@
     if (it == state.policy->teams.end())
         return most;
     auto use = state.teamUse.find(team);
+    auto unseen = state.ownership.unseenUse.find(team);
     Resources used = reserved + (use == state.teamUse.end() ? Resources {} : use->second.used);
+    if (unseen != state.ownership.unseenUse.end())
+        used = used + unseen->second;
     const Resources& limit = it->second.limit;
     int n = countWithin(limit.milliCpu, used.milliCpu, each.milliCpu, most);
     n = countWithin(limit.memoryMb, used.memoryMb, each.memoryMb, n);
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -13,6 +13,7 @@
 #include "src/cell/Preemption.h"
 #include "src/cell/Runs.h"
 #include "src/cell/StoreCalls.h"
+#include "src/cell/UnseenUse.h"
 #include "src/cell/Upstreams.h"
 
 namespace crocuslever::cell {
@@ -273,6 +274,7 @@
     state.placementDue = false;
     state.counters.add("placement_passes_total");
     std::int64_t pairsBefore = state.examinedPairs;
+    updateUnseenUse(state);
     std::vector<Candidate> candidates = collectCandidates(state, now);
     PlacementPass pass;
     if (!candidates.empty())
--- a/src/cell/Preemption.cpp
+++ b/src/cell/Preemption.cpp
@@ -32,11 +32,6 @@
     return it == reservations.amounts.end() ? Resources {} : it->second;
 }
 
-static Resources minimum(const Resources& a, const Resources& b)
-{
-    return a + b - maximum(a, b);
-}
-
 Resources unreservedRoom(const UpstreamRow& upstream, const ReservedRoom& reservations)
 {
     Resources room = roomOn(upstream);
--- a/src/core/Resources.cpp
+++ b/src/core/Resources.cpp
@@ -30,6 +30,8 @@
         std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots) };
 }
 
+Resources minimum(const Resources& a, const Resources& b) { return a + b - maximum(a, b); }
+
 static double fraction(std::int64_t part, std::int64_t whole)
 {
     return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
