Give up tasks that crash the upstreams on which they start

Cause: only ends that an upstream lists as failed were counted. Class: a loss that is not attributed to anything is repeated.

An upstream that is listed at the address of an earlier one, or under its id, with a later start shows that the earlier one has ended, unless it was draining. An upstream that is only cut off counts nothing (CutUpstreamCountsAsCrashed). A job fails after two crashes that came within 1 s of a start of the same task, or after four at any time: tasks that happen to run beside a deadly one are not given up with it (NeighbourOfADeadlyTaskFails). The counts are stored with the task's progress, for the next owner.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -54,6 +54,7 @@
     std::string upstream; ///< Upstream of the latest run; empty if there was none.
     int run { 0 }; ///< Number of the latest run; 0: none.
     std::set<int> failedRuns; ///< Numbers of the runs that failed.
+    CrashedRuns crashes;
     std::string checkpoint;
     int percent { 0 }; ///< Progress that the upstream last reported.
     int preemptions { 0 }; ///< Number of times it was preempted.
@@ -150,6 +151,13 @@
     std::int64_t change { 0 }; ///< The change of the job that has to be stored before the end may be dropped.
 };
 
+/// A run whose lease expired while its upstream was out of reach.
+struct LapsedRun {
+    TaskKey task;
+    int run { 0 };
+    TimePoint startedAt;
+};
+
 struct UpstreamRow {
     DirectoryEntry entry;
     UpstreamIncarnation incarnation { 0 };
@@ -158,12 +166,16 @@
     bool fenced { false }; ///< This incarnation has our fencing token, and a poll has returned its runs.
     std::map<std::string, RunRow> runs; ///< By formatted task key.
     RoomUse use;
+    /// Kept until it is known whether the upstream has crashed, or for a limited time.
+    std::vector<LapsedRun> lapsedRuns;
+    bool isReplaced { false }; ///< A later upstream is listed at its address, so that this one has ended.
     int unknownRuns { 0 }; ///< Listed runs of no known job; they hold an unknown amount of room.
     Ticket poll { 0 }; ///< The poll in flight; 0: none.
     TimePoint pollSentAt;
     std::int64_t pollLeaseMs { 0 };
     TimePoint nextPoll;
     int failedPolls { 0 }; ///< Consecutive polls without a usable answer.
+    TimePoint contactLostAt; ///< Time of the first of them; valid if there is one.
     bool clockKnown { false };
     std::int64_t clockMs { 0 }; ///< The upstream's clock at `clockAt`.
     TimePoint clockAt;
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -65,6 +65,17 @@
     auto tie() const { return std::tie(id, route, team, acceptedMs, spec); }
 };
 
+/// Runs of a task whose upstream crashed, by number.
+struct CrashedRuns {
+    std::set<int> all;
+    std::set<int> sudden; ///< Those whose upstream crashed right after their start.
+
+    auto tie() const { return std::tie(all, sudden); }
+};
+
+inline bool operator==(const CrashedRuns& a, const CrashedRuns& b) { return a.tie() == b.tie(); }
+inline bool operator<(const CrashedRuns& a, const CrashedRuns& b) { return a.tie() < b.tie(); }
+
 /// The stored progress of one task.
 struct TaskProgress {
     int occurrence { 0 };
@@ -74,8 +85,9 @@
     std::set<int> failedRuns; ///< For a gang, each member holds the failed runs of the gang.
     int lastRun { 0 }; ///< Highest run number known to be used.
     std::string checkpoint;
+    CrashedRuns crashes;
 
-    auto tie() const { return std::tie(occurrence, step, index, done, failedRuns, lastRun, checkpoint); }
+    auto tie() const { return std::tie(occurrence, step, index, done, failedRuns, lastRun, checkpoint, crashes); }
 };
 
 enum class JobState { Pending,
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -14,6 +14,10 @@
 /// Backoff after a failed run; an immediate retry would likely hit the same fault.
 static constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(50);
 static constexpr int kDefaultAttempts = 1;
+/// Crashes under a task after which its job fails. Upstreams that crash right after its start tell most: others may
+/// crash for any reason, and take all tasks that run on them along.
+static constexpr std::size_t kMaxSuddenCrashes = 2;
+static constexpr std::size_t kMaxCrashes = 4;
 
 const char* toString(JobState state)
 {
@@ -257,6 +261,8 @@
             continue;
         std::set<int>& failedRuns = specOf(*job, key).gang ? findStep(state, key)->failedRuns : task->failedRuns;
         failedRuns.insert(progress.failedRuns.begin(), progress.failedRuns.end());
+        task->crashes.all.insert(progress.crashes.all.begin(), progress.crashes.all.end());
+        task->crashes.sudden.insert(progress.crashes.sudden.begin(), progress.crashes.sudden.end());
         task->run = progress.lastRun;
         task->checkpoint = progress.checkpoint;
         job->hasStarted = true;
@@ -332,6 +338,23 @@
         endJob(state, *job, JobState::Failed, formatTaskKey(end.task) + " has used up its route's attempts", now, actions);
 }
 
+void handleCrashedRun(CellState& state, const TaskKey& key, int run, bool isSudden, const std::string& upstream, const Instant& now, CellActions& actions)
+{
+    TaskRow* task = findTask(state, key);
+    JobRow* job = findJob(state, key.job);
+    if (!task || job->ended || task->phase == TaskPhase::Done)
+        return;
+    CrashedRuns& crashes = task->crashes;
+    crashes.all.insert(run);
+    if (isSudden)
+        crashes.sudden.insert(run);
+    markDirty(state, *job);
+    state.counters.add("task_crashes_total");
+    logMessage(actions, LogLevel::Warning, "task.crash", upstream, key.job, formatTaskKey(key) + " run " + std::to_string(run) + ": the upstream crashed" + (isSudden ? " right after its start" : "") + "; upstreams crashed under the task: " + std::to_string(crashes.all.size()) + ", right after its start: " + std::to_string(crashes.sudden.size()));
+    if (crashes.sudden.size() >= kMaxSuddenCrashes || crashes.all.size() >= kMaxCrashes)
+        endJob(state, *job, JobState::Failed, formatTaskKey(key) + " seems to crash the upstreams on which it starts", now, actions);
+}
+
 bool isStepReady(const CellState& state, const JobRow& job, int occurrence, int step, std::int64_t wallMs)
 {
     const JobSpec& spec = job.record.spec;
@@ -375,8 +398,9 @@
                 bool isDone = task.phase == TaskPhase::Done;
                 bool isGang = job.record.spec.steps[s].gang;
                 const std::set<int>& failedRuns = isGang ? steps[s].failedRuns : task.failedRuns;
-                if (isDone || !failedRuns.empty() || !task.checkpoint.empty())
-                    all.push_back({ static_cast<int>(k), static_cast<int>(s), static_cast<int>(i), isDone, failedRuns, task.run, isDone ? std::string() : task.checkpoint });
+                bool hasCrashed = !task.crashes.all.empty();
+                if (isDone || hasCrashed || !failedRuns.empty() || !task.checkpoint.empty())
+                    all.push_back({ static_cast<int>(k), static_cast<int>(s), static_cast<int>(i), isDone, failedRuns, task.run, isDone ? std::string() : task.checkpoint, task.crashes });
             }
         }
     }
--- a/src/cell/Jobs.h
+++ b/src/cell/Jobs.h
@@ -31,6 +31,9 @@
     std::string checkpoint;
 };
 
+/// Counts a run whose upstream crashed. A job with a task that seems to crash its upstreams fails.
+void handleCrashedRun(CellState&, const TaskKey&, int run, bool isSudden, const std::string& upstream, const Instant& now, CellActions&);
+
 /// Applies the end of a run. Idempotent. The end of a run other than the latest
 /// only counts as an attempt, and only if it failed.
 void handleRunEnd(CellState&, const RunEndReport&, const Instant& now, CellActions&);
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -103,6 +103,10 @@
             row.add_failed_runs(run);
         row.set_last_run(task.lastRun);
         row.set_checkpoint(task.checkpoint);
+        for (int run : task.crashes.all)
+            row.add_crashed_runs(run);
+        for (int run : task.crashes.sudden)
+            row.add_suddenly_crashed_runs(run);
     }
     return out.SerializeAsString();
 }
@@ -115,7 +119,8 @@
     std::vector<TaskProgress> tasks;
     for (const wire::TaskProgress& row : in.tasks()) {
         std::set<int> failedRuns(row.failed_runs().begin(), row.failed_runs().end());
-        tasks.push_back({ row.occurrence(), row.step(), row.index(), row.done(), std::move(failedRuns), row.last_run(), row.checkpoint() });
+        CrashedRuns crashes { { row.crashed_runs().begin(), row.crashed_runs().end() }, { row.suddenly_crashed_runs().begin(), row.suddenly_crashed_runs().end() } };
+        tasks.push_back({ row.occurrence(), row.step(), row.index(), row.done(), std::move(failedRuns), row.last_run(), row.checkpoint(), std::move(crashes) });
     }
     return tasks;
 }
--- a/src/cell/UnseenUse.cpp
+++ b/src/cell/UnseenUse.cpp
@@ -19,7 +19,7 @@
     Resources sum;
     for (const UpstreamTarget& target : state.ownership.earlierUpstreams) {
         auto it = state.upstreams.find(target.id);
-        if (it == state.upstreams.end() || it->second.fenced)
+        if (it == state.upstreams.end() || it->second.fenced || it->second.isReplaced)
             continue;
         if (!it->second.listed)
             return std::nullopt;
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -28,6 +28,10 @@
 /// Largest difference between our time of day and an upstream's.
 static constexpr std::int64_t kMaxClockErrorMs = 6000; // ms
 static constexpr int kFailedPollsUntilWarning = 1;
+/// An upstream that is lost this soon after the start of a run was probably crashed by it.
+static constexpr Duration kSuddenCrash = std::chrono::milliseconds(1000);
+/// A crashed upstream is back within this time, if it comes back.
+static constexpr Duration kRestartTime = std::chrono::seconds(30);
 /// An answer with at least this many ends may be truncated.
 static constexpr std::size_t kMaxEndsPerAnswer = 500;
 
@@ -49,7 +53,7 @@
 {
     bool isHealthy = upstream.listed && upstream.fenced && upstream.failedPolls == 0 && upstream.unknownRuns == 0 && now >= upstream.backoffUntil;
     bool isOpen = !upstream.entry.draining && state.evacuated.count(upstream.entry.domain) == 0;
-    return upstream.isStored && isHealthy && isOpen && upstream.clockKnown;
+    return upstream.isStored && isHealthy && isOpen && upstream.clockKnown && !upstream.isReplaced;
 }
 
 std::int64_t leaseUntil(const CellState& state, const UpstreamRow& upstream, TimePoint now)
@@ -80,11 +84,50 @@
     state.ownership.isKnownUpstreamsStale = true;
 }
 
+/// Counts the crash of an upstream for each run that it had, or that has lapsed since contact was lost. An upstream that
+/// was draining has left as announced.
+static void recordCrash(CellState& state, UpstreamRow& upstream, const Instant& now, CellActions& actions)
+{
+    std::vector<LapsedRun> runs = std::move(upstream.lapsedRuns);
+    upstream.lapsedRuns.clear();
+    for (const auto& [name, run] : upstream.runs)
+        runs.push_back({ run.task, run.run, run.startedAt });
+    if (upstream.entry.draining)
+        return;
+    for (const LapsedRun& run : runs) {
+        bool isSudden = upstream.failedPolls > 0 && upstream.contactLostAt - run.startedAt <= kSuddenCrash;
+        handleCrashedRun(state, run.task, run.run, isSudden, upstream.entry.id, now, actions);
+    }
+}
+
+/// Ends all runs of an upstream at whose address a later one is listed. Orders that name the earlier one are refused there.
+static void handleUpstreamReplaced(CellState& state, UpstreamRow& upstream, const DirectoryEntry& successor, const Instant& now, CellActions& actions)
+{
+    logMessage(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "has ended: " + successor.id + " is listed at its address " + successor.address + "; it had " + std::to_string(upstream.runs.size()) + " runs");
+    recordCrash(state, upstream, now, actions);
+    upstream.isReplaced = true;
+    std::vector<std::string> names;
+    for (const auto& [name, run] : upstream.runs)
+        names.push_back(name);
+    for (const std::string& name : names)
+        finishRun(state, upstream, name, RunEnd::LeaseExpired, "", now, actions);
+}
+
+static void findReplacedUpstreams(CellState& state, const DirectoryEntry& entry, const Instant& now, CellActions& actions)
+{
+    for (auto& [id, upstream] : state.upstreams) {
+        bool isEarlier = upstream.entry.bornMs > 0 && upstream.entry.bornMs < entry.bornMs;
+        if (id != entry.id && isEarlier && !upstream.isReplaced && upstream.entry.address == entry.address)
+            handleUpstreamReplaced(state, upstream, entry, now, actions);
+    }
+}
+
 /// Ends the runs of the previous incarnation, of which the new one knows nothing.
 /// The new incarnation may still execute an order that was sent to the previous one.
 static void handleUpstreamRestart(CellState& state, UpstreamRow& upstream, std::int64_t bornMs, const Instant& now, CellActions& actions)
 {
     logMessage(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "restarted, new incarnation " + std::to_string(bornMs) + "; the previous one had " + std::to_string(upstream.runs.size()) + " runs");
+    recordCrash(state, upstream, now, actions);
     std::vector<std::string> gone;
     std::vector<std::string> uncertain;
     for (const auto& [name, run] : upstream.runs) {
@@ -136,9 +179,10 @@
     bool isNew = upstream.entry.id.empty();
     if (!isNew && entry.bornMs < upstream.entry.bornMs)
         return; // Stale entry of an earlier incarnation.
-    if (isNew)
+    if (isNew) {
         assignIncarnation(state, upstream);
-    else if (upstream.entry.bornMs != entry.bornMs)
+        findReplacedUpstreams(state, entry, now, actions);
+    } else if (upstream.entry.bornMs != entry.bornMs)
         handleUpstreamRestart(state, upstream, entry.bornMs, now, actions);
     if (isNew || upstream.entry.draining != entry.draining || !upstream.listed) {
         state.placementDue = true;
@@ -247,8 +291,10 @@
         return;
     logMessage(actions, LogLevel::Warning, "upstream.lapse", upstream.entry.id, "", "the leases of " + std::to_string(upstream.runs.size()) + " runs expired; the runs count as ended");
     std::vector<std::string> names;
-    for (const auto& [name, run] : upstream.runs)
+    for (const auto& [name, run] : upstream.runs) {
         names.push_back(name);
+        upstream.lapsedRuns.push_back({ run.task, run.run, run.startedAt });
+    }
     for (const std::string& name : names)
         finishRun(state, upstream, name, RunEnd::LeaseExpired, "", now, actions);
 }
@@ -262,7 +308,7 @@
         return;
     bool areAllFenced = std::all_of(ownership.earlierUpstreams.begin(), ownership.earlierUpstreams.end(), [&state](const UpstreamTarget& target) {
         auto it = state.upstreams.find(target.id);
-        return it == state.upstreams.end() || it->second.fenced;
+        return it == state.upstreams.end() || it->second.fenced || it->second.isReplaced;
     });
     if (!areAllFenced && now.steady <= ownership.earlierRunsEnd)
         return;
@@ -288,14 +334,18 @@
     for (auto it = state.upstreams.begin(); it != state.upstreams.end();) {
         UpstreamRow& upstream = it->second;
         endExpiredRuns(state, upstream, now, actions);
-        bool isGone = !upstream.listed && upstream.runs.empty() && now.steady > upstream.leasesEnd && now.steady > ownership.earlierRunsEnd;
+        Duration keptFor = upstream.lapsedRuns.empty() ? Duration(0) : kRestartTime;
+        bool areLeasesOver = now.steady > upstream.leasesEnd + keptFor && now.steady > ownership.earlierRunsEnd;
+        bool isGone = !upstream.listed && upstream.runs.empty() && areLeasesOver;
         if (isGone) {
             state.polls.erase(upstream.poll);
             it = state.upstreams.erase(it);
             ownership.isKnownUpstreamsStale = true;
             continue;
         }
-        if (upstream.poll == 0 && now.steady >= upstream.nextPoll && mayIssueOrders(state, now.steady))
+        bool isLost = !upstream.listed && upstream.runs.empty() && !upstream.lapsedRuns.empty();
+        bool isPolled = !upstream.isReplaced && !isLost;
+        if (isPolled && upstream.poll == 0 && now.steady >= upstream.nextPoll && mayIssueOrders(state, now.steady))
             sendPoll(state, upstream, now, actions);
         ++it;
     }
@@ -428,6 +478,7 @@
 static void applyPollResult(CellState& state, UpstreamRow& upstream, const PollResult& result, const Instant& now, CellActions& actions)
 {
     upstream.failedPolls = 0;
+    upstream.lapsedRuns.clear();
     upstream.clockMs = result.clockMs;
     upstream.clockAt = now.steady;
     upstream.clockKnown = true;
@@ -446,7 +497,8 @@
 
 static void countFailedPoll(CellState& state, UpstreamRow& upstream, OrderOutcome outcome, const Instant& now, CellActions& actions)
 {
-    ++upstream.failedPolls;
+    if (++upstream.failedPolls == 1)
+        upstream.contactLostAt = now.steady;
     // The connection was closed; retry at once on a new one.
     bool isFirst = upstream.failedPolls == 1 && outcome == OrderOutcome::NotSent;
     upstream.nextPoll = now.steady + (isFirst ? Duration(0) : kRetryInterval);
--- /dev/null
+++ b/tests/CellCrashTest.cpp
@@ -0,0 +1,103 @@
+// Tasks that crash the upstreams on which they start, in a cell on the emulator.
+
+#include "tests/CellFixture.h"
+
+using namespace crocuslever;
+using namespace crocuslever::cell;
+using namespace crocuslever::cell::testing;
+
+BOOST_AUTO_TEST_SUITE(CellCrashTest)
+
+/// Starts of a task that crashes each upstream: three, and two more.
+static constexpr int kMostStarts = 5;
+
+static TaskScript deadlyScript()
+{
+    TaskScript script = makeScript(5000);
+    script.isDeadly = true;
+    return script;
+}
+
+static EmulatorSettings makeSettings(std::uint64_t seed, Duration crashTime)
+{
+    EmulatorSettings settings;
+    settings.upstreams = 12;
+    settings.seed = seed;
+    settings.crashTime = crashTime;
+    return settings;
+}
+
+/// Crashed upstreams come back before and after the leases of their runs have expired.
+static const std::vector<Duration> kCrashTimes { std::chrono::seconds(1), std::chrono::milliseconds(3500), std::chrono::seconds(8) };
+
+// A task was started on one upstream after the other and crashed them all.
+BOOST_AUTO_TEST_CASE(DeadlyTaskCrashesOneUpstreamAfterTheOther)
+{
+    for (Duration crashTime : kCrashTimes) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            BOOST_TEST_CONTEXT("seed " << seed << ", back after " << toMilliseconds(crashTime) << " ms")
+            {
+                CellFixture cell(makeSettings(seed, crashTime));
+                cell.emulator.submit(jobId(1), makeJob(deadlyScript(), { makeStep(1, 1000) }), cell.other());
+                cell.emulator.runFor(std::chrono::seconds(60));
+                BOOST_TEST(cell.startsOf(1) <= kMostStarts);
+                BOOST_TEST(cell.isIn(1, cell::JobState::Failed, cell.owner()));
+                cell.checkRules();
+                cell.checkAccounting();
+            }
+        }
+    }
+}
+
+// What was known of the crashes was lost with the owner.
+BOOST_AUTO_TEST_CASE(CrashesAreForgottenByTheNextOwner)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            CellFixture cell(makeSettings(seed, std::chrono::milliseconds(3500)));
+            cell.emulator.submit(jobId(1), makeJob(deadlyScript(), { makeStep(1, 1000) }), cell.other());
+            BOOST_REQUIRE(cell.emulator.runUntil(std::chrono::seconds(20), [&] { return cell.startsOf(1) == 2; }));
+            cell.emulator.restart(cell.owner());
+            cell.emulator.runFor(std::chrono::seconds(60));
+            BOOST_TEST(cell.startsOf(1) <= kMostStarts);
+            BOOST_TEST(cell.isIn(1, cell::JobState::Failed, cell.owner()));
+        }
+    }
+}
+
+// A job whose upstream was crashed by others was given up.
+BOOST_AUTO_TEST_CASE(NeighbourOfADeadlyTaskFails)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            CellFixture cell(makeSettings(seed, std::chrono::milliseconds(3500)));
+            for (int n = 100; n < 112; ++n)
+                cell.emulator.submit(jobId(n), makeJob(makeScript(6000), { makeStep(4, 1000) }), cell.other());
+            cell.emulator.runFor(std::chrono::milliseconds(1500));
+            cell.emulator.submit(jobId(1), makeJob(deadlyScript(), { makeStep(1, 1000) }), cell.other());
+            cell.emulator.runFor(std::chrono::seconds(60));
+            for (int n = 100; n < 112; ++n)
+                BOOST_TEST(cell.isIn(n, cell::JobState::Completed, cell.owner()));
+            BOOST_TEST(cell.isIn(1, cell::JobState::Failed, cell.owner()));
+        }
+    }
+}
+
+// Upstreams that are cut off and come back have not crashed.
+BOOST_AUTO_TEST_CASE(CutUpstreamCountsAsCrashed)
+{
+    CellFixture cell;
+    cell.emulator.submit(jobId(1), makeJob(makeScript(8000), { makeStep(1, 1000) }), cell.other());
+    for (int n = 1; n <= 5; ++n) {
+        BOOST_REQUIRE(cell.emulator.runUntil(std::chrono::seconds(20), [&] { return cell.startsOf(1) == n; }));
+        std::string upstream = cell.emulator.history().back().upstream;
+        cell.emulator.cutUpstream(upstream, true);
+        cell.emulator.runFor(std::chrono::seconds(6));
+        cell.emulator.cutUpstream(upstream, false);
+    }
+    BOOST_TEST(cell.waitFor(1, cell::JobState::Completed, std::chrono::seconds(20), cell.owner()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -7,6 +7,8 @@
 static constexpr Duration kTickInterval = std::chrono::milliseconds(8);
 static constexpr Duration kCallTimeout = std::chrono::milliseconds(500); ///< Unanswered calls fail after it.
 static constexpr Duration kPollInterval = std::chrono::milliseconds(2); ///< For emulated long polls.
+/// A crashed upstream stays in the directory for this long.
+static constexpr Duration kSilenceUntilUnlisted = std::chrono::milliseconds(4500);
 static constexpr const char* kDirectoryService = "service";
 
 CellEmulator::CellEmulator(const EmulatorSettings& settings)
@@ -41,11 +43,33 @@
 /// Ends runs and expires leases on time, even if no instance polls the upstream.
 void CellEmulator::advanceUpstreams()
 {
-    for (auto& [id, slot] : m_upstreams)
+    std::vector<std::string> crashed;
+    for (auto& [id, slot] : m_upstreams) {
         slot.incarnation->advance(now());
+        if (slot.incarnation->hasCrashed(now()) && !slot.isCut)
+            crashed.push_back(id);
+    }
+    for (const std::string& id : crashed)
+        replaceCrashedUpstream(id);
     m_queue.after(kTickInterval, [this] { advanceUpstreams(); });
 }
 
+void CellEmulator::replaceCrashedUpstream(const std::string& id)
+{
+    UpstreamSlot& slot = m_upstreams.at(id);
+    slot.incarnation->crash(now());
+    slot.isCut = true;
+    m_queue.after(kSilenceUntilUnlisted, [this, id] { m_upstreams.at(id).isListed = false; });
+    m_queue.after(m_settings.crashTime, [this, id] {
+        DirectoryEntry entry = m_upstreams.at(id).entry;
+        entry.id = id + "+";
+        entry.bornMs = m_queue.now().wallMs;
+        UpstreamSlot& successor = m_upstreams[entry.id];
+        successor.entry = entry;
+        successor.incarnation = std::make_unique<EmulatedUpstream>(entry.id, entry.bornMs, m_history, m_failures);
+    });
+}
+
 Duration CellEmulator::latency(std::int64_t leastMs, std::int64_t mostMs)
 {
     return fromMilliseconds(std::uniform_int_distribution<std::int64_t>(leastMs, mostMs)(m_random));
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -23,6 +23,8 @@
     double lateOrders { 0.0 }; ///< Share of orders that get no answer and are executed seconds later.
     double lostAnswers { 0.0 }; ///< Share of store changes that are applied but not answered.
     Duration storeDelay { 0 }; ///< Added to the answers to store changes.
+    /// After a crash by a task until the upstream is back, under another id at the same address.
+    Duration crashTime { std::chrono::milliseconds(3500) };
     int goodAdvice { 100 }; ///< Percent of upstreams that the advice service names as good, by step and upstream.
 };
 
@@ -115,6 +117,7 @@
     Directory directory() const;
     void boot(std::size_t instance);
     void advanceUpstreams();
+    void replaceCrashedUpstream(const std::string& id);
     void deliver(const Caller&, Duration delay, const CellEvent&);
     void deliverNow(const Caller&, const CellEvent&);
     void tickInstance(std::size_t instance, int incarnation);
--- a/tests/emulator/EmulatedUpstream.cpp
+++ b/tests/emulator/EmulatedUpstream.cpp
@@ -5,11 +5,12 @@
 
 namespace crocuslever::cell::testing {
 
+static constexpr Duration kCrashDelay = std::chrono::milliseconds(10); ///< From the start of a deadly task.
 static constexpr Duration kStopTime = std::chrono::milliseconds(200);
 
 std::string formatScript(const TaskScript& script)
 {
-    return "run=" + std::to_string(toMilliseconds(script.runTime)) + " fail=" + std::to_string(script.failures) + " gang=" + std::to_string(script.gang) + " saves=" + (script.saves ? "1" : "0");
+    return "run=" + std::to_string(toMilliseconds(script.runTime)) + " fail=" + std::to_string(script.failures) + " gang=" + std::to_string(script.gang) + " saves=" + (script.saves ? "1" : "0") + " deadly=" + (script.isDeadly ? "1" : "0");
 }
 
 TaskScript parseScript(const std::string& payload)
@@ -29,6 +30,8 @@
             script.gang = value;
         else if (name == "saves")
             script.saves = value != 0;
+        else if (name == "deadly")
+            script.isDeadly = value != 0;
     }
     return script;
 }
@@ -129,6 +132,8 @@
     run.record = m_history.size();
     m_history.push_back({ order.task, order.run, m_id, now, TimePoint::max(), std::nullopt, false });
     m_runs[order.task] = run;
+    if (script.isDeadly)
+        m_crashAt = std::min(m_crashAt, now + kCrashDelay);
     return OrderOutcome::Ok;
 }
 
--- a/tests/emulator/EmulatedUpstream.h
+++ b/tests/emulator/EmulatedUpstream.h
@@ -17,6 +17,7 @@
     int failures { 0 };
     int gang { 0 };
     bool saves { false }; ///< "saves=1": a stopped task resumes from its checkpoint.
+    bool isDeadly { false }; ///< "deadly=1": it crashes each upstream that starts it.
 };
 
 std::string formatScript(const TaskScript&);
@@ -44,6 +45,8 @@
     OrderOutcome stop(const RunStop&, TimePoint now);
     /// Ends the runs that are complete, stopped or out of lease at `now`.
     void advance(TimePoint now);
+    /// True if a task has crashed the upstream by `now`.
+    bool hasCrashed(TimePoint now) const { return m_crashAt <= now; }
     /// Drops all runs and unacknowledged ends.
     void crash(TimePoint now);
 
@@ -83,6 +86,7 @@
     };
     std::vector<End> m_ends;
     std::int64_t m_lastEnd { 0 };
+    TimePoint m_crashAt { TimePoint::max() };
 };
 
 } // namespace crocuslever::cell::testing
