Take no upstream from an odd entry of the directory

What other operators saw: one entry by another writer, nested very deeply, with a number too large or a port out of range, ended processes or stopped them from following the list. Here, by test: deep nesting (500,000 levels) does no harm. Class: a value converted before its range is checked.

The parser of addresses stood twice (HttpPool, Endpoint); one remains, strict about the port.

--- a/src/http/Endpoint.cpp
+++ b/src/http/Endpoint.cpp
@@ -1,6 +1,7 @@
 #include "src/http/Endpoint.h"
 
-#include <cstdlib>
+#include <charconv>
+#include <cstdint>
 
 namespace crocuslever {
 
@@ -14,10 +15,12 @@
         host = host.substr(1, host.size() - 2);
     boost::system::error_code ec;
     boost::asio::ip::address address = boost::asio::ip::make_address(host, ec);
-    int port = std::atoi(text.c_str() + colon + 1);
-    if (ec || port <= 0 || port > 65535)
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    std::from_chars_result parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (ec || parsed.ec != std::errc() || parsed.ptr != end || port == 0)
         return std::nullopt;
-    return boost::asio::ip::tcp::endpoint(address, static_cast<unsigned short>(port));
+    return boost::asio::ip::tcp::endpoint(address, port);
 }
 
 } // namespace crocuslever
--- a/src/upstream/HttpPool.cpp
+++ b/src/upstream/HttpPool.cpp
@@ -12,6 +12,8 @@
 #include <sys/socket.h>
 #include <vector>
 
+#include "src/http/Endpoint.h"
+
 namespace crocuslever {
 
 namespace asio = boost::asio;
@@ -24,22 +26,6 @@
 static constexpr Duration kIdleTimeout = std::chrono::seconds(20); ///< Then an idle connection is closed.
 static constexpr Duration kSweepInterval = std::chrono::seconds(5);
 
-static std::optional<Tcp::endpoint> parseAddress(const std::string& address)
-{
-    std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos || colon == 0)
-        return std::nullopt;
-    std::string host = address.substr(0, colon);
-    if (host.front() == '[' && host.back() == ']')
-        host = host.substr(1, host.size() - 2);
-    error_code ec;
-    asio::ip::address ip = asio::ip::make_address(host, ec);
-    int port = std::atoi(address.c_str() + colon + 1);
-    if (ec || port <= 0 || port > 65535)
-        return std::nullopt;
-    return Tcp::endpoint(ip, static_cast<std::uint16_t>(port));
-}
-
 static std::string makeRandomIdPrefix()
 {
     std::random_device device;
@@ -164,7 +150,7 @@
     ExchangePtr exchange = std::make_shared<Exchange>(m_context, std::move(call));
     exchange->id = m_idPrefix + "-" + std::to_string(++m_calls);
     AddressPool& pool = m_pools[address];
-    if (m_stopped || pool.waiting.size() >= kMaximumWaitingExchanges || !parseAddress(address)) {
+    if (m_stopped || pool.waiting.size() >= kMaximumWaitingExchanges || !parseEndpoint(address)) {
         asio::post(m_context, [self = shared_from_this(), exchange] { self->complete(exchange, HttpOutcome::NotSent, {}); });
         return;
     }
@@ -236,7 +222,7 @@
 void HttpPool::Impl::connect(const ConnectionPtr& connection)
 {
     connection->exchange->phase = Phase::Connecting;
-    Tcp::endpoint endpoint = *parseAddress(connection->exchange->call.address);
+    Tcp::endpoint endpoint = *parseEndpoint(connection->exchange->call.address);
     connection->socket.async_connect(endpoint, [self = shared_from_this(), connection](error_code ec) {
         if (self->m_stopped || !connection->exchange)
             return;
--- a/tests/PlatformDecodeTest.cpp
+++ b/tests/PlatformDecodeTest.cpp
@@ -70,6 +70,68 @@
         BOOST_CHECK_MESSAGE(!decodeRunLists(body, result), body);
 }
 
+static std::string makeEntry(const std::string& address, const std::string& cpu, const std::string& born, const std::string& more = "")
+{
+    return R"({"service":"s","address":")" + address + R"(","zone":"z","state":"ready","seq":4,"capacity":{"cpu":)" + cpu + R"(,"mem-mb":1,"gpu":0},"labels":["a"],"born":)" + born + more + "}";
+}
+
+static const std::string kAddress = "10.0.0.9:8080";
+
+// An entry of another writer must name no upstream, and must not end the process.
+BOOST_AUTO_TEST_CASE(OddDirectoryEntryIsTakenForAnUpstream)
+{
+    BOOST_REQUIRE(decodeDirectoryEntry("u", makeEntry(kAddress, "64000", "5")));
+    for (const char* address : { "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:4294975376", "10.0.0.9:99999999999999999999", "10.0.0.9:-1", "10.0.0.9:80x", "10.0.0.9:", "10.0.0.9", ":8080", "host:8080", "" })
+        BOOST_CHECK_MESSAGE(!decodeDirectoryEntry("u", makeEntry(address, "64000", "5")), address);
+    for (const char* cpu : { "1e300", "-1e300", "1e400", "-1", "123456789012345678901234567890", "9223372036854775807", "1e15" })
+        BOOST_CHECK_MESSAGE(!decodeDirectoryEntry("u", makeEntry(kAddress, cpu, "5")), cpu);
+    for (const char* born : { "1e300", "-1e300", "123456789012345678901234567890", "-5", "9223372036854775808" })
+        BOOST_CHECK_MESSAGE(!decodeDirectoryEntry("u", makeEntry(kAddress, "64000", born)), born);
+    std::optional<cell::DirectoryEntry> late = decodeDirectoryEntry("u", makeEntry(kAddress, "64000", "5", R"(,"remaining-ms":1e300)"));
+    BOOST_CHECK(!late || late->remaining < std::chrono::hours(24 * 366));
+}
+
+// Nested so deeply that a recursive parser, copy or destructor would use up the stack.
+BOOST_AUTO_TEST_CASE(DeeplyNestedEntryEndsTheProcess)
+{
+    constexpr std::size_t kDepth = 500000;
+    std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    std::string objects;
+    for (std::size_t n = 0; n < kDepth / 5; ++n)
+        objects += "{\"a\":";
+    objects += "1" + std::string(kDepth / 5, '}');
+    for (const std::string& odd : { nested, objects, std::string(kDepth, '['), "[" + nested }) {
+        BOOST_CHECK(!decodeDirectoryEntry("u", odd));
+        decodeDirectoryEntry("u", makeEntry(kAddress, "64000", "5", ",\"x\":" + odd));
+        decodeDirectoryEntry("u", makeEntry(kAddress, odd, "5"));
+        cell::PollResult result;
+        decodeRunLists(odd, result);
+        decodeRunLists("{\"clock-ms\":1,\"num-running\":" + odd + "}", result);
+        BOOST_CHECK(decodeJobSpec("{\"steps\":" + odd + "}").has_error());
+        BOOST_CHECK(decodePolicy(odd).has_error());
+        (void)decodeWave("{\"machines\":" + odd + "}");
+    }
+}
+
+// Numbers outside the range of their type wrapped to valid ones.
+BOOST_AUTO_TEST_CASE(NumberTooLargeWrapsToAValidOne)
+{
+    BOOST_CHECK(decodeJobSpec(R"({"steps":[{"count":4294967297}]})").has_error());
+    BOOST_CHECK(decodeJobSpec(R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}]})").has_error());
+    Result<cell::JobSpec> job = decodeJobSpec(R"({"steps":[{"count":1,"estimate-ms":1e300,"cpu":1e300}]})");
+    BOOST_REQUIRE(job.has_value());
+    BOOST_CHECK(job.value().steps[0].estimate > Duration(0));
+    BOOST_CHECK(job.value().steps[0].each.milliCpu > 0);
+    Result<cell::FleetPolicy> policy = decodePolicy(R"({"version":1,"routes":[{"name":"r","attempts":4294967296,"priority":4294967295,"target-duration-ms":1e300}]})");
+    BOOST_REQUIRE(policy.has_value());
+    BOOST_CHECK_GT(policy.value().routes[0].attempts, 1);
+    BOOST_CHECK_GT(policy.value().routes[0].priority, 0);
+    BOOST_CHECK(policy.value().routes[0].targetDuration > Duration(0));
+    cell::PollResult result;
+    BOOST_CHECK(!decodeRunLists(R"({"clock-ms":1,"num-running":[["t",4294967298,"",1,1]]})", result));
+    BOOST_CHECK(!decodeRunLists(R"({"clock-ms":1,"ended":[[1e300,"t",1,"done",""]]})", result));
+}
+
 BOOST_AUTO_TEST_CASE(ReportsEverySettingsFault)
 {
     std::string good = "instance: a\nfailure_domain: d\nlisten:\n  callers: '1.2.3.4:1'\n  readiness: '1.2.3.4:2'\npeers:\n  listen: '1.2.3.4:3'\n  seeds: []\nstore: '1.2.3.4:4'\nstop:\n  grace: 6s\n";
