Do not move the queue's watch past jobs that the store has not delivered

What callers would see: an accepted job that never starts. The same cause as in the declarations' watch: an answer without changes moved the owner's position, also past a job that the store had not delivered yet and then dropped with its history. The notice of the job hides it, unless that is lost too. The position now moves by advanceWatch(), as for the declarations.

Before: JobIsSkippedByAnAnswerWithoutIt fails when each answer moves the position; with the change it passes.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -228,6 +228,13 @@
     int storeFailures { 0 }; ///< Consecutive store calls that were refused or got no answer.
 };
 
+/// Position of a watch: the next call asks for changes after `revision`.
+struct WatchPosition {
+    StoreRevision revision { 0 }; ///< 0: the range has to be read first.
+    StoreRevision quietRevision { 0 }; ///< Revision of an earlier answer without changes; 0: none.
+    TimePoint quietSince; ///< When that answer arrived.
+};
+
 enum class OwnerPhase { None,
     Acquiring,
     Recovering, ///< Reads the cell's records from the store.
@@ -254,7 +261,7 @@
     bool isKnownUpstreamsStale { false }; ///< Upstreams were added, removed or restarted since that record was written.
     bool storingKnownUpstreams { false };
     std::vector<UpstreamTarget> earlierUpstreams; ///< Upstreams recorded by earlier owners; they may run tasks.
-    StoreRevision watchRevision { 0 }; ///< The queue watch continues after this revision.
+    WatchPosition queuePosition;
     StoreRevision queueReadRevision { 0 }; ///< Lower bound on the revision of the full read of the queue.
     Ticket watch { 0 };
     TimePoint nextWatch;
@@ -327,13 +334,6 @@
     TimePoint avoidUntil; ///< Backoff after a timeout.
 };
 
-/// Position of a watch: the next call asks for changes after `revision`.
-struct WatchPosition {
-    StoreRevision revision { 0 }; ///< 0: the range has to be read first.
-    StoreRevision quietRevision { 0 }; ///< Revision of an earlier answer without changes; 0: none.
-    TimePoint quietSince; ///< When that answer arrived.
-};
-
 /// The operators' declarations, which are listed once and then watched.
 struct DeclarationReader {
     std::map<std::string, EvacuatedDomain> evacuated; ///< By store key.
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -248,7 +248,7 @@
 
 static void applyQueue(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
 {
-    state.ownership.watchRevision = reply.revision;
+    state.ownership.queuePosition = { reply.revision, 0, {} };
     for (const StoreEntry& entry : reply.entries)
         applyQueueEntry(state, entry, now, actions);
 }
@@ -308,7 +308,7 @@
         return;
     for (const StoreEntry& entry : reply.entries)
         applyQueueEntry(state, entry, now, actions);
-    state.ownership.watchRevision = std::max(state.ownership.watchRevision, reply.revision);
+    advanceWatch(state.ownership.queuePosition, reply, now.steady);
 }
 
 /// A notice may be delayed. Its job may have ended meanwhile, and the owner keeps
@@ -348,7 +348,7 @@
         if (!isOwner(s) || s.ownership.token != token)
             return;
         if (reply.status == StoreStatus::HistoryLost) {
-            logMessage(out, LogLevel::Warning, "ownership", "", "", "the store has compacted the history after revision " + std::to_string(s.ownership.watchRevision) + "; rereading the job queue");
+            logMessage(out, LogLevel::Warning, "ownership", "", "", "the store has compacted the history after revision " + std::to_string(s.ownership.queuePosition.revision) + "; rereading the job queue");
             rereadQueue(s, out);
             return;
         }
@@ -358,7 +358,7 @@
             handleQueueChanges(s, reply, at, out);
         s.ownership.nextWatch = at.steady + (isOk ? kWatchPause : kRetryInterval);
     };
-    ownership.watch = awaitChanges(state, kQueuePrefix, ownership.watchRevision, kWatchWait, then, actions);
+    ownership.watch = awaitChanges(state, kQueuePrefix, ownership.queuePosition.revision, kWatchWait, then, actions);
 }
 
 /// Writes the owner key under the new lease after the old one expired, unless another instance has
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -216,6 +216,20 @@
     BOOST_CHECK_EQUAL(startsOf(1), 1);
 }
 
+// The owner's watch passed a stored job that the store had not delivered, and the notice of it was lost.
+BOOST_FIXTURE_TEST_CASE(JobIsSkippedByAnAnswerWithoutIt, CellFixture)
+{
+    emulator.setWatchesDeaf(true);
+    emulator.setFramesLost(true);
+    emulator.submit(jobId(1), makeJob(makeScript(200), { makeStep(1, 1000) }), other());
+    emulator.runFor(std::chrono::milliseconds(2400));
+    BOOST_REQUIRE_EQUAL(startsOf(1), 0);
+    emulator.setFramesLost(false);
+    emulator.forgetHistory();
+    emulator.setWatchesDeaf(false);
+    BOOST_CHECK(emulator.runUntil(std::chrono::seconds(3), [this] { return startsOf(1) == 1; }));
+}
+
 /// The core of one instance, whose store calls the test answers.
 struct StoreCallsFixture {
     StoreCallsFixture(const std::string& instance, std::int64_t milliCpu)
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -340,8 +340,14 @@
         failStoreCall(caller, call.ticket, StoreStatus::NoAnswer);
         return;
     }
+    if (call.revision < m_ownHistoryStart) {
+        failStoreCall(caller, call.ticket, StoreStatus::HistoryLost);
+        return;
+    }
     m_store.expireLeases(now());
-    std::vector<crocuslever::testing::ModelChange> changes = m_store.changesSince(call.revision + 1, call.prefix, endOfPrefix(call.prefix));
+    std::vector<crocuslever::testing::ModelChange> changes;
+    if (!m_areWatchesDeaf)
+        changes = m_store.changesSince(call.revision + 1, call.prefix, endOfPrefix(call.prefix));
     if (changes.empty() && now() < deadline) {
         m_queue.after(kPollInterval, [this, caller, call, deadline] { awaitStore(caller, call, deadline); });
         return;
@@ -503,6 +509,7 @@
 {
     recordDeclarationChanges();
     m_historyStart = m_declarationRevision;
+    m_ownHistoryStart = m_store.revision();
     m_declarationChanges.clear();
 }
 
@@ -604,6 +611,8 @@
 {
     if (m_keepsLastFrame)
         m_lastFrame = frame.bytes;
+    if (m_areFramesLost)
+        return;
     for (std::size_t n = 0; n < m_instances.size(); ++n) {
         bool isReceiver = m_instances[n].state && m_instances[n].state->settings.address == frame.address;
         if (isReceiver)
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -70,6 +70,8 @@
     void setWatchesDeaf(bool areDeaf) { m_areWatchesDeaf = areDeaf; }
     /// The store forgets the changes so far, so that waits for changes since then fail.
     void forgetHistory();
+    /// Drops all frames between instances.
+    void setFramesLost(bool areLost) { m_areFramesLost = areLost; }
     void setStoreDown(bool isDown) { m_storeDown = isDown; }
     void cutUpstream(const std::string& id, bool isCut) { m_upstreams.at(id).isCut = isCut; }
     void crashUpstream(const std::string& id);
@@ -180,6 +182,8 @@
     std::map<std::pair<std::size_t, CallId>, std::function<void(const EntryReply&)>> m_calls;
     CallId m_nextCall { 1 };
     std::int64_t m_endsListed { 0 };
+    StoreRevision m_ownHistoryStart { 0 }; ///< The same for the instances' own keys.
+    bool m_areFramesLost { false };
     bool m_keepsLastFrame { false };
     std::string m_lastFrame;
     /// When the advice service can serve the next question, by instance; it serves them sequentially.
