Take an upstream for ended only once it has stopped answering

Cause: one entry of the directory was believed against an upstream that answers (class: what one look shows is taken for the state). An upstream now counts as ended only while its polls fail, for an entry of the same service that does not start in the future; it is looked for in each reading of the directory, not just in the first.

--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -1,6 +1,7 @@
 #include "src/cell/Upstreams.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 #include "src/cell/Commits.h"
 #include "src/cell/Fit.h"
@@ -113,15 +114,6 @@
         finishRun(state, upstream, name, RunEnd::LeaseExpired, "", now, actions);
 }
 
-static void findReplacedUpstreams(CellState& state, const DirectoryEntry& entry, const Instant& now, CellActions& actions)
-{
-    for (auto& [id, upstream] : state.upstreams) {
-        bool isEarlier = upstream.entry.bornMs > 0 && upstream.entry.bornMs < entry.bornMs;
-        if (id != entry.id && isEarlier && !upstream.isReplaced && upstream.entry.address == entry.address)
-            handleUpstreamReplaced(state, upstream, entry, now, actions);
-    }
-}
-
 /// Ends the runs of the previous incarnation, of which the new one knows nothing.
 /// The new incarnation may still execute an order that was sent to the previous one.
 static void handleUpstreamRestart(CellState& state, UpstreamRow& upstream, std::int64_t bornMs, const Instant& now, CellActions& actions)
@@ -179,10 +171,9 @@
     bool isNew = upstream.entry.id.empty();
     if (!isNew && entry.bornMs < upstream.entry.bornMs)
         return; // Stale entry of an earlier incarnation.
-    if (isNew) {
+    if (isNew)
         assignIncarnation(state, upstream);
-        findReplacedUpstreams(state, entry, now, actions);
-    } else if (upstream.entry.bornMs != entry.bornMs)
+    else if (upstream.entry.bornMs != entry.bornMs)
         handleUpstreamRestart(state, upstream, entry.bornMs, now, actions);
     if (isNew || upstream.entry.draining != entry.draining || !upstream.listed) {
         state.placementDue = true;
@@ -192,6 +183,31 @@
     upstream.listed = true;
 }
 
+/// True if the entry shows that the upstream has ended. One that still answers has not, whatever another writer
+/// may have put into the directory.
+static bool isReplacedBy(const UpstreamRow& upstream, const DirectoryEntry& entry, const Instant& now)
+{
+    const DirectoryEntry& earlier = upstream.entry;
+    bool isLater = earlier.bornMs > 0 && earlier.bornMs < entry.bornMs && entry.bornMs < now.wallMs + kMaxClockErrorMs;
+    // An upstream known from an earlier owner only has no service yet.
+    bool isSameService = earlier.service.empty() || earlier.service == entry.service;
+    return upstream.failedPolls > 0 && earlier.id != entry.id && isLater && isSameService;
+}
+
+static void findReplacedUpstreams(CellState& state, const Directory& directory, const Instant& now, CellActions& actions)
+{
+    std::unordered_multimap<std::string, const DirectoryEntry*> byAddress;
+    for (const DirectoryEntry& entry : directory.entries)
+        byAddress.emplace(entry.address, &entry);
+    for (auto& [id, upstream] : state.upstreams) {
+        auto range = byAddress.equal_range(upstream.entry.address);
+        for (auto it = range.first; it != range.second && !upstream.isReplaced; ++it) {
+            if (isReplacedBy(upstream, *it->second, now))
+                handleUpstreamReplaced(state, upstream, *it->second, now, actions);
+        }
+    }
+}
+
 static void markUnlisted(CellState& state, const std::set<std::string>& listed, CellActions& actions)
 {
     for (auto& [id, upstream] : state.upstreams) {
@@ -214,6 +230,7 @@
         applyDirectoryEntry(state, entry, now, actions);
     }
     markUnlisted(state, listed, actions);
+    findReplacedUpstreams(state, read, now, actions);
 }
 
 static void handleKnownUpstreamsStored(CellState& state, const std::set<UpstreamIncarnation>& incarnations, const StoreReply& reply)
--- a/tests/CellCrashTest.cpp
+++ b/tests/CellCrashTest.cpp
@@ -85,6 +85,19 @@
     }
 }
 
+// A working upstream was taken for one that has ended, and its tasks were started again elsewhere.
+BOOST_AUTO_TEST_CASE(UpstreamIsReplacedByAnOddEntryAtItsAddress)
+{
+    CellFixture cell;
+    cell.emulator.submit(jobId(1), makeJob(makeScript(5000), { makeStep(6, 1000) }), cell.other());
+    cell.emulator.runFor(std::chrono::seconds(1));
+    for (const std::string& id : cell.emulator.upstreamIds())
+        cell.emulator.addOddEntry(id);
+    BOOST_TEST(cell.waitFor(1, cell::JobState::Completed, std::chrono::seconds(10), cell.owner()));
+    BOOST_TEST(cell.startsOf(1) == 6);
+    cell.checkRules();
+}
+
 // Upstreams that are cut off and come back have not crashed.
 BOOST_AUTO_TEST_CASE(CutUpstreamCountsAsCrashed)
 {
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -113,6 +113,17 @@
     slot.incarnation = std::make_unique<EmulatedUpstream>(id, slot.entry.bornMs, m_history, m_failures);
 }
 
+void CellEmulator::addOddEntry(const std::string& id)
+{
+    DirectoryEntry entry = m_upstreams.at(id).entry;
+    entry.id = id + "?";
+    entry.bornMs = m_queue.now().wallMs;
+    UpstreamSlot& slot = m_upstreams[entry.id];
+    slot.entry = entry;
+    slot.incarnation = std::make_unique<EmulatedUpstream>(entry.id, entry.bornMs, m_history, m_failures);
+    slot.isCut = true;
+}
+
 void CellEmulator::evacuate(const std::string& domain, bool isEvacuated)
 {
     if (isEvacuated)
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -75,6 +75,8 @@
     void setStoreDown(bool isDown) { m_storeDown = isDown; }
     void cutUpstream(const std::string& id, bool isCut) { m_upstreams.at(id).isCut = isCut; }
     void crashUpstream(const std::string& id);
+    /// Adds an entry that names no upstream, at the address of one and with a later start.
+    void addOddEntry(const std::string& id);
     /// The upstream's entry shows the capacity from now on; the upstream itself starts whatever it is told to.
     void setCapacity(const std::string& id, const Resources& capacity) { m_upstreams.at(id).entry.capacity = capacity; }
     void evacuate(const std::string& domain, bool isEvacuated);
