--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -274,7 +274,7 @@
     state.placementDue = false;
     state.counters.add("placement_passes_total");
     std::int64_t pairsBefore = state.examinedPairs;
-    updateUnseenUse(state);
+    updateUnseenUse(state, now.wallMs);
     std::vector<Candidate> candidates = collectCandidates(state, now);
     PlacementPass pass;
     if (!candidates.empty())
