Do not fail long-running jobs after a number of restarts

Its tasks now count only crashes right after their start. LongRunningTaskFailsWhenItsUpstreamsRestart guards it; it was not run on the code before.

--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -351,7 +351,9 @@
     markDirty(state, *job);
     state.counters.add("task_crashes_total");
     logMessage(actions, LogLevel::Warning, "task.crash", upstream, key.job, formatTaskKey(key) + " run " + std::to_string(run) + ": the upstream crashed" + (isSudden ? " right after its start" : "") + "; upstreams crashed under the task: " + std::to_string(crashes.all.size()) + ", right after its start: " + std::to_string(crashes.sudden.size()));
-    if (crashes.sudden.size() >= kMaxSuddenCrashes || crashes.all.size() >= kMaxCrashes)
+    // A long-running task sees many upstreams crash that it has nothing to do with.
+    bool hasTooMany = !specOf(*job, key).isLongRunning && crashes.all.size() >= kMaxCrashes;
+    if (crashes.sudden.size() >= kMaxSuddenCrashes || hasTooMany)
         endJob(state, *job, JobState::Failed, formatTaskKey(key) + " seems to crash the upstreams on which it starts", now, actions);
 }
 
--- a/tests/CellCrashTest.cpp
+++ b/tests/CellCrashTest.cpp
@@ -85,6 +85,22 @@
     }
 }
 
+// A long-running job failed after its upstreams had restarted a few times.
+BOOST_AUTO_TEST_CASE(LongRunningTaskFailsWhenItsUpstreamsRestart)
+{
+    CellFixture cell;
+    StepSpec step = makeStep(1, 1000);
+    step.isLongRunning = true;
+    cell.emulator.submit(jobId(1), makeJob(makeScript(600000), { step }), cell.other());
+    for (int n = 1; n <= 6; ++n) {
+        BOOST_REQUIRE(cell.emulator.runUntil(std::chrono::seconds(20), [&] { return cell.startsOf(1) >= n; }));
+        cell.emulator.runFor(std::chrono::seconds(8));
+        cell.emulator.crashUpstream(cell.emulator.history().back().upstream);
+        cell.emulator.runFor(std::chrono::seconds(1));
+    }
+    BOOST_TEST(cell.isIn(1, cell::JobState::Running, cell.owner()));
+}
+
 // A working upstream was taken for one that has ended, and its tasks were started again elsewhere.
 BOOST_AUTO_TEST_CASE(UpstreamIsReplacedByAnOddEntryAtItsAddress)
 {
