--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -16,8 +16,8 @@
     , m_random(settings.seed)
     , m_instances(static_cast<std::size_t>(settings.instances))
 {
-    m_policy.version = 1;
-    m_policy.services[kDirectoryService] = { kDirectoryService, false };
+    m_declarations.policy.version = 1;
+    m_declarations.policy.services[kDirectoryService] = { kDirectoryService, false };
     Route route;
     route.name = "route";
     route.host = "host";
@@ -27,7 +27,7 @@
     route.attempts = 3;
     route.stretch = 2.0;
     route.targetDuration = std::chrono::seconds(1);
-    m_policy.routes.push_back(route);
+    m_declarations.policy.routes.push_back(route);
     for (int n = 0; n < settings.upstreams; ++n) {
         std::string id = "u" + std::to_string(n);
         UpstreamSlot& slot = m_upstreams[id];
@@ -90,7 +90,7 @@
     settings.seed = m_random();
     // Declarations and directory are not stored; the decoders return them directly.
     StoreFormat format;
-    format.decodeDeclaration = [this](const StoreEntry& entry) { return decodeDeclaration(entry); };
+    format.decodeDeclaration = [this](const StoreEntry& entry) { return m_declarations.decode(entry); };
     format.decodeDirectory = [this](const std::vector<StoreEntry>&) { return directory(); };
     slot.state = std::make_unique<CellState>(settings, format);
     int incarnation = slot.incarnations;
@@ -127,9 +127,9 @@
 void CellEmulator::evacuate(const std::string& domain, bool isEvacuated)
 {
     if (isEvacuated)
-        m_evacuated.insert(domain);
+        m_declarations.evacuated.insert(domain);
     else
-        m_evacuated.erase(domain);
+        m_declarations.evacuated.erase(domain);
 }
 
 void CellEmulator::runFor(Duration duration) { m_queue.runUntil(now() + duration); }
@@ -202,13 +202,13 @@
 
 Route& CellEmulator::addRoute(const std::string& prefix, int priority)
 {
-    Route route = m_policy.routes.front();
+    Route route = m_declarations.policy.routes.front();
     route.name = prefix;
     route.prefix = prefix;
     route.priority = priority;
-    m_policy.routes.push_back(route);
-    ++m_policy.version;
-    return m_policy.routes.back();
+    m_declarations.policy.routes.push_back(route);
+    ++m_declarations.policy.version;
+    return m_declarations.policy.routes.back();
 }
 
 void CellEmulator::submit(const std::string& id, const JobSpec& spec, std::size_t instance, Duration callerTimeout, const std::string& prefix, const std::string& key)
@@ -305,12 +305,8 @@
         return;
     }
     StoreReply reply = call.of == Listing::OwnKeys ? readStore(call.prefix, false) : StoreReply {};
-    if (call.of == Listing::Declarations) {
-        recordDeclarationChanges();
-        reply.revision = m_declarationRevision;
-        reply.entries = declarationEntries();
-        ++m_configurationsRead;
-    }
+    if (call.of == Listing::Declarations)
+        reply = m_declarations.list();
     reply.status = StoreStatus::Ok;
     reply.ticket = call.ticket;
     deliver(caller, latency(3, 8), reply);
@@ -330,17 +326,15 @@
         failStoreCall(caller, call.ticket, StoreStatus::NoAnswer);
         return;
     }
-    recordDeclarationChanges();
-    if (call.revision < m_historyStart) {
-        failStoreCall(caller, call.ticket, StoreStatus::HistoryLost);
+    StoreReply reply = m_declarations.changesAfter(call.revision);
+    if (reply.status != StoreStatus::Ok) {
+        failStoreCall(caller, call.ticket, reply.status);
         return;
     }
-    bool hasChanges = call.revision < m_declarationRevision && !m_areWatchesDeaf;
-    if (!hasChanges && now() < deadline) {
+    if (reply.entries.empty() && reply.deleted.empty() && now() < deadline) {
         m_queue.after(kPollInterval, [this, caller, call, deadline] { awaitDeclarations(caller, call, deadline); });
         return;
     }
-    StoreReply reply = declarationChanges(hasChanges ? call.revision : m_declarationRevision);
     reply.ticket = call.ticket;
     deliver(caller, latency(2, 4), reply);
 }
@@ -460,68 +454,16 @@
         m_store.revokeLease(call.lease);
 }
 
-static constexpr const char* kPolicyKey = "policy";
-static const std::string kEvacuatedPrefix = "evacuated/";
-
-std::vector<StoreEntry> CellEmulator::declarationEntries() const
-{
-    std::vector<StoreEntry> entries { { kPolicyKey, std::to_string(m_policy.version), 0 } };
-    for (const std::string& domain : m_evacuated)
-        entries.push_back({ kEvacuatedPrefix + domain, "", 0 });
-    return entries;
-}
-
-std::optional<Declaration> CellEmulator::decodeDeclaration(const StoreEntry& entry) const
-{
-    if (entry.key == kPolicyKey) {
-        std::shared_ptr<FleetPolicy> policy = std::make_shared<FleetPolicy>(m_policy);
-        indexRoutes(*policy);
-        return policy;
-    }
-    return EvacuatedDomain { entry.key.substr(kEvacuatedPrefix.size()) };
-}
-
-/// Tests change the declarations directly, so changes are found by comparison.
-void CellEmulator::recordDeclarationChanges()
+void CellEmulator::setWatchesDeaf(bool areDeaf)
 {
-    std::map<std::string, StoreEntry> current;
-    for (const StoreEntry& entry : declarationEntries())
-        current[entry.key] = entry;
-    for (const auto& [key, entry] : current) {
-        auto it = m_declared.find(key);
-        if (it == m_declared.end() || it->second.value != entry.value)
-            m_declarationChanges.push_back({ ++m_declarationRevision, entry, false });
-    }
-    for (const auto& [key, entry] : m_declared) {
-        if (current.count(key) == 0)
-            m_declarationChanges.push_back({ ++m_declarationRevision, entry, true });
-    }
-    m_declared = std::move(current);
-}
-
-StoreReply CellEmulator::declarationChanges(StoreRevision after)
-{
-    StoreReply reply;
-    reply.status = StoreStatus::Ok;
-    reply.revision = m_declarationRevision;
-    for (const DeclarationChange& change : m_declarationChanges) {
-        if (change.revision <= after)
-            continue;
-        m_configurationsRead += change.entry.key == kPolicyKey ? 1 : 0;
-        if (change.isDeleted)
-            reply.deleted.push_back(change.entry.key);
-        else
-            reply.entries.push_back(change.entry);
-    }
-    return reply;
+    m_areWatchesDeaf = areDeaf;
+    m_declarations.setDeaf(areDeaf);
 }
 
 void CellEmulator::forgetHistory()
 {
-    recordDeclarationChanges();
-    m_historyStart = m_declarationRevision;
+    m_declarations.forgetHistory();
     m_ownHistoryStart = m_store.revision();
-    m_declarationChanges.clear();
 }
 
 Directory CellEmulator::directory() const
@@ -604,7 +546,7 @@
 
 void CellEmulator::perform(const Caller& caller, const AdviceRequest& request)
 {
-    const AdviceTiming timing = m_policy.routes.front().advice.value_or(AdviceTiming {});
+    const AdviceTiming timing = m_declarations.policy.routes.front().advice.value_or(AdviceTiming {});
     Duration serviceTime = timing.base + timing.perUpstream * static_cast<std::int64_t>(request.upstreams.size());
     TimePoint& free = m_adviceFree[caller.instance];
     free = std::max(free, now()) + serviceTime;
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/cell/CellState.h"
+#include "tests/emulator/EmulatedDeclarations.h"
 #include "tests/emulator/EmulatedUpstream.h"
 #include "tests/emulator/EventQueue.h"
 #include "tests/support/StoreModel.h"
@@ -67,7 +68,7 @@
     void keepLastFrame(bool isKept) { m_keepsLastFrame = isKept; }
     void repeatLastFrame(std::size_t instance) { deliver({ instance, m_instances[instance].incarnations }, Duration(0), PeerFrame { "", m_lastFrame }); }
     /// While deaf, waits at the store end without the changes that are made, but with its current revision.
-    void setWatchesDeaf(bool areDeaf) { m_areWatchesDeaf = areDeaf; }
+    void setWatchesDeaf(bool areDeaf);
     /// The store forgets the changes so far, so that waits for changes since then fail.
     void forgetHistory();
     /// Drops all frames between instances.
@@ -85,14 +86,14 @@
     std::optional<std::size_t> owner() const;
     const std::vector<RunRecord>& history() const { return m_history; }
     const CellState& core(std::size_t instance) const { return *m_instances[instance].state; }
-    FleetPolicy& policy() { return m_policy; }
-    const FleetPolicy& policy() const { return m_policy; }
+    FleetPolicy& policy() { return m_declarations.policy; }
+    const FleetPolicy& policy() const { return m_declarations.policy; }
     std::vector<std::string> upstreamIds() const;
     /// Number of run ends in the answers of all upstreams; repeated ends count each time.
     std::int64_t endsListed() const { return m_endsListed; }
     Duration adviceBusy() const { return m_adviceBusy; }
     /// Number of configurations in the store's answers to all instances.
-    int configurationsRead() const { return m_configurationsRead; }
+    int configurationsRead() const { return m_declarations.configurationsRead(); }
 
 private:
     struct InstanceSlot {
@@ -116,10 +117,6 @@
         int incarnation { 0 };
     };
 
-    std::vector<StoreEntry> declarationEntries() const;
-    std::optional<Declaration> decodeDeclaration(const StoreEntry&) const;
-    void recordDeclarationChanges();
-    StoreReply declarationChanges(StoreRevision after);
     Directory directory() const;
     void boot(std::size_t instance);
     void advanceUpstreams();
@@ -162,19 +159,9 @@
     std::mt19937_64 m_random;
     crocuslever::testing::StoreModel m_store;
     bool m_storeDown { false };
-    FleetPolicy m_policy;
-    std::set<std::string> m_evacuated;
-    struct DeclarationChange {
-        StoreRevision revision { 0 };
-        StoreEntry entry;
-        bool isDeleted { false };
-    };
-    std::map<std::string, StoreEntry> m_declared; ///< The declarations when changes were last recorded.
-    std::vector<DeclarationChange> m_declarationChanges;
-    StoreRevision m_declarationRevision { 1 };
-    StoreRevision m_historyStart { 0 }; ///< Changes up to this revision are forgotten.
-    int m_configurationsRead { 0 };
+    EmulatedDeclarations m_declarations;
     bool m_areWatchesDeaf { false };
+    StoreRevision m_ownHistoryStart { 0 }; ///< Changes of the instances' own keys up to this revision are forgotten.
     std::vector<InstanceSlot> m_instances;
     std::map<std::string, UpstreamSlot> m_upstreams;
     std::map<Connection, std::int64_t> m_connectedIncarnations; ///< Upstream incarnation behind each poll connection.
@@ -184,7 +171,6 @@
     std::map<std::pair<std::size_t, CallId>, std::function<void(const EntryReply&)>> m_calls;
     CallId m_nextCall { 1 };
     std::int64_t m_endsListed { 0 };
-    StoreRevision m_ownHistoryStart { 0 }; ///< The same for the instances' own keys.
     bool m_areFramesLost { false };
     bool m_keepsLastFrame { false };
     std::string m_lastFrame;
