Count a crash only for runs that are known to have started

Cause: an order to an upstream that was dead already counted as a run that it crashed under. A crash now counts only for runs that the upstream has confirmed or listed.

No test of its own; CellCrashTest passes.

--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -91,8 +91,11 @@
 {
     std::vector<LapsedRun> runs = std::move(upstream.lapsedRuns);
     upstream.lapsedRuns.clear();
-    for (const auto& [name, run] : upstream.runs)
-        runs.push_back({ run.task, run.run, run.startedAt });
+    for (const auto& [name, run] : upstream.runs) {
+        // An order without an answer may never have started the run.
+        if (run.confirmed)
+            runs.push_back({ run.task, run.run, run.startedAt });
+    }
     if (upstream.entry.draining)
         return;
     for (const LapsedRun& run : runs) {
@@ -310,7 +313,8 @@
     std::vector<std::string> names;
     for (const auto& [name, run] : upstream.runs) {
         names.push_back(name);
-        upstream.lapsedRuns.push_back({ run.task, run.run, run.startedAt });
+        if (run.confirmed)
+            upstream.lapsedRuns.push_back({ run.task, run.run, run.startedAt });
     }
     for (const std::string& name : names)
         finishRun(state, upstream, name, RunEnd::LeaseExpired, "", now, actions);
