--- a/tests/CellCrashTest.cpp
+++ b/tests/CellCrashTest.cpp
@@ -85,6 +85,42 @@
     }
 }
 
+// Each start was ordered on an upstream that was dead already, which counted as a crash under the task, and the job was
+// given up.
+BOOST_AUTO_TEST_CASE(OrdersToDeadUpstreamsCountAsCrashes)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings = makeSettings(seed, std::chrono::milliseconds(3500));
+            settings.upstreams = 2;
+            CellFixture cell(settings);
+            CellEmulator& emulator = cell.emulator;
+            emulator.submit(jobId(2), makeJob(makeScript(60000), { makeStep(1, 8000) }), cell.other());
+            emulator.runFor(std::chrono::seconds(1));
+            std::string dead = emulator.history().front().upstream == "u0" ? "u1" : "u0";
+            emulator.cutUpstream(dead, true);
+            emulator.submit(jobId(1), makeJob(makeScript(500), { makeStep(1, 8000) }), cell.other());
+            for (int round = 0; round < 3; ++round) {
+                emulator.runFor(std::chrono::milliseconds(2500));
+                // It comes back and drains, so that the task waits until it is dead again.
+                emulator.drainUpstream(dead, true);
+                emulator.crashUpstream(dead);
+                emulator.cutUpstream(dead, false);
+                emulator.runFor(std::chrono::milliseconds(1500));
+                emulator.cutUpstream(dead, true);
+                emulator.drainUpstream(dead, false);
+            }
+            emulator.runFor(std::chrono::milliseconds(2500));
+            emulator.crashUpstream(dead);
+            emulator.cutUpstream(dead, false);
+            BOOST_TEST(cell.waitFor(1, cell::JobState::Completed, std::chrono::seconds(15), cell.owner()));
+            cell.checkRules();
+            cell.checkAccounting();
+        }
+    }
+}
+
 // A long-running job failed after its upstreams had restarted a few times.
 BOOST_AUTO_TEST_CASE(LongRunningTaskFailsWhenItsUpstreamsRestart)
 {
