--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -17,6 +17,7 @@
 constexpr Duration kRunTime = std::chrono::milliseconds(1000);
 constexpr std::int64_t kTasksOfJob = 3;
 constexpr std::int64_t kStartsOfUpstream = 2; ///< Per second.
+constexpr StoreRevision kConfigurationRevision = 1;
 constexpr Resources kCapacity { 64000, 262144, 0, 0 };
 
 struct ScheduledEvent {
@@ -171,18 +172,18 @@
         events.push({ now + kRoundTrip, reply });
     }
 
-    void perform(const StoreAwait& call)
-    {
-        if (call.of == Listing::OwnKeys)
-            watch = call;
-    }
+    void perform(const StoreAwait& call) { watch = call; }
     void perform(const StoreRead& call) { answerStore(call.ticket); }
-    void perform(const StoreList& call)
+    void perform(const StoreList& call) { answerStore(call.ticket); }
+    void perform(const ConfigurationCheck& call)
     {
         StoreReply reply;
-        if (call.of == Listing::Declarations)
-            reply.entries.push_back({ "policy", "", 1 });
-        answerStore(call.ticket, reply);
+        reply.ticket = call.ticket;
+        bool isKnown = call.revision == kConfigurationRevision;
+        reply.status = isKnown ? StoreStatus::Ok : StoreStatus::Conflict;
+        if (!isKnown)
+            reply.entries.push_back({ "policy", "", kConfigurationRevision });
+        events.push({ now + kRoundTrip, reply });
     }
     void perform(const StoreChange& call) { answerStore(call.ticket); }
     void perform(const LeaseGrant& call) { answerStore(call.ticket); }
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -272,8 +272,13 @@
 void tickPlacement(CellState& state, const Instant& now, CellActions& actions)
 {
     bool isDue = state.placementDue ? now.steady >= state.nextPlacement : now.steady >= state.nextPlacement + kIdlePassInterval;
-    if (!isDue || state.stopping || !mayStartTasks(state, now.steady))
+    if (!isDue || state.stopping || !mayIssueOrders(state, now.steady))
         return;
+    if (!mayStartTasks(state, now.steady)) {
+        state.counters.add("placement_passes_held_total");
+        state.nextPlacement = now.steady + kPassInterval;
+        return;
+    }
     state.placementDue = false;
     state.counters.add("placement_passes_total");
     std::int64_t pairsBefore = state.examinedPairs;
--- a/src/cell/Relay.cpp
+++ b/src/cell/Relay.cpp
@@ -117,7 +117,15 @@
             return;
         }
     }
-    listKeys(state, query.key(), answer, actions);
+    if (query.listing() == static_cast<int>(Listing::OwnKeys)) {
+        listKeys(state, query.key(), answer, actions);
+        return;
+    }
+    logMessage(actions, LogLevel::Warning, "relay", "", "", "listing of unknown kind " + std::to_string(query.listing()) + " refused");
+    state.relay.relayedTickets.erase(state.nextTicket); // No call is made.
+    StoreReply refusal;
+    refusal.status = StoreStatus::Refused;
+    answer(state, refusal, {}, actions);
 }
 
 void relayStoreQuery(CellState& state, const wire::PeerMessage& query, CellActions& actions)
