--- a/tests/DeclarationsTest.cpp
+++ b/tests/DeclarationsTest.cpp
@@ -179,4 +179,27 @@
     cell.checkRules();
 }
 
+// A start without an answer was repeated after the owner had read that the upstream drains.
+BOOST_AUTO_TEST_CASE(RepeatedStartReachesADrainingUpstream)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.seed = seed;
+            settings.upstreams = 1;
+            CellFixture cell(settings);
+            cell.emulator.cutUpstream("u0", true);
+            cell.emulator.submit(jobId(1), makeJob(makeScript(300), { makeStep(1, 1000) }), cell.other());
+            cell.emulator.runFor(std::chrono::milliseconds(300));
+            cell.emulator.drainUpstream("u0", true);
+            // Longer than between two readings of the directory, shorter than until the last repetition.
+            cell.emulator.runFor(std::chrono::milliseconds(600));
+            cell.emulator.cutUpstream("u0", false);
+            cell.emulator.runFor(std::chrono::seconds(5));
+            BOOST_TEST(cell.emulator.history().empty());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
