--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -108,6 +108,7 @@
     std::optional<JobState> ended; ///< The final state, set before it is stored.
     std::int64_t changed { 0 }; ///< Number of the latest change; see CommitQueue.
     std::int64_t stored { 0 }; ///< Changes up to this number are stored.
+    std::set<std::string> endsHeldBy; ///< Upstreams that have listed run ends of the job since it was last stored in full.
 };
 
 using JobTable = std::unordered_map<std::string, JobRow>;
--- a/src/cell/Commits.cpp
+++ b/src/cell/Commits.cpp
@@ -130,6 +130,8 @@
         if (!job)
             continue;
         job->stored = batch.changes;
+        if (job->stored >= job->changed)
+            job->endsHeldBy.clear();
         if (!job->ended || state.commits.dirty.count(id) > 0)
             continue;
         state.finished[id] = { *job->ended, now.steady + state.settings.finishedRetention };
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -430,8 +430,10 @@
         if (run != upstream.runs.end() && run->second.run <= end.run)
             removeRun(state, upstream, end.task);
         handleRunEnd(state, { *key, end.run, upstream.entry.id, end.how, end.checkpoint }, now, actions);
-        const JobRow* job = findJob(state, key->job);
+        JobRow* job = findJob(state, key->job);
         upstream.pendingEnds.push_back({ end.number, key->job, job ? job->changed : 0 });
+        if (job)
+            job->endsHeldBy.insert(upstream.entry.id);
     }
     acknowledgeStoredEnds(state, upstream, now);
 }
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -425,6 +425,34 @@
     }
 }
 
+/// Runs a job to its end while the store is away, and returns what its owner shows then.
+static std::optional<JobState> showWithoutStore(CellFixture& fixture, bool isDraining, bool isCut)
+{
+    CellEmulator& emulator = fixture.emulator;
+    std::size_t owner = fixture.owner();
+    emulator.submit(jobId(1), makeJob(makeScript(1500), { makeStep(1, 1000) }), fixture.other());
+    emulator.runFor(std::chrono::milliseconds(500));
+    std::string upstream = emulator.history().at(0).upstream;
+    emulator.drainUpstream(upstream, isDraining);
+    emulator.runFor(std::chrono::milliseconds(600));
+    emulator.setStoreDown(true);
+    emulator.runFor(std::chrono::milliseconds(1500));
+    emulator.cutUpstream(upstream, isCut);
+    emulator.runFor(std::chrono::milliseconds(1500));
+    return lookUpJob(emulator.core(owner), jobId(1));
+}
+
+// An end that only the owner and a leaving upstream knew was shown, and the job ran again after both had gone.
+BOOST_AUTO_TEST_CASE(JobIsShownAsCompletedThoughItsUpstreamLeaves)
+{
+    CellFixture sound;
+    BOOST_CHECK(showWithoutStore(sound, false, false) == JobState::Completed);
+    CellFixture draining;
+    BOOST_CHECK(showWithoutStore(draining, true, false) == JobState::Running);
+    CellFixture cut;
+    BOOST_CHECK(showWithoutStore(cut, false, true) == JobState::Running);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace crocuslever::cell::testing
