--- a/tests/DeclarationsTest.cpp
+++ b/tests/DeclarationsTest.cpp
@@ -44,7 +44,7 @@
     BOOST_TEST(cell.emulator.configurationsRead() - before == 2 * cell.settings.instances);
 }
 
-// The declarations are listed again after the store has forgotten what changed.
+// The check of the configuration needs no history of the store.
 BOOST_AUTO_TEST_CASE(ChangeIsMissedWhenTheStoreForgetsItsHistory)
 {
     CellFixture cell;
@@ -55,7 +55,7 @@
     BOOST_TEST(cell.emulator.core(cell.owner()).evacuated.value.count("domain-1") == 1U);
 }
 
-// Watches heard nothing of a change, answered with a revision after it, and the store dropped the change.
+// The configuration does not come by a watch, which may hear nothing of a change that the store then drops.
 BOOST_AUTO_TEST_CASE(ChangeIsSkippedByAnAnswerWithoutIt)
 {
     CellFixture cell;
