Log transfers of the configuration and calls decided past its deadline

Each transfer is logged with its source, size and duration, and counted; so is each call that is decided by a configuration past its deadline.

--- a/src/cell/Declarations.cpp
+++ b/src/cell/Declarations.cpp
@@ -1,6 +1,7 @@
 #include "src/cell/Declarations.h"
 
 #include "cell.pb.h"
+#include "src/cell/Latency.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/PeerCalls.h"
 #include "src/cell/StoreCalls.h"
@@ -72,6 +73,13 @@
     logMessage(actions, LogLevel::Error, "declarations", "", "", "the configuration of revision " + std::to_string(record.modRevision) + " is ignored: " + (error ? error->message : "not a configuration") + "; version " + std::to_string(versionInForce(state)) + " stays in force");
 }
 
+static void recordTransfer(CellState& state, const std::string& from, const StoreEntry& record, Duration took, CellActions& actions)
+{
+    observeLatency(state.counters, "configuration_transfer_seconds", took);
+    state.counters.add("configuration_received_bytes_total", static_cast<std::int64_t>(record.value.size()));
+    logMessage(actions, LogLevel::Info, "declarations", from, "", "received the configuration of revision " + std::to_string(record.modRevision) + ", " + std::to_string(record.value.size()) + " bytes, " + std::to_string(toMilliseconds(took)) + " ms after it was requested");
+}
+
 static void recordFailure(CellState& state, StoreStatus status, const Instant& now, CellActions& actions)
 {
     DeclarationReader& reader = state.declarations;
@@ -93,8 +101,10 @@
         state.configuration.confirmation = confirmedAgain(state.configuration.confirmation, reader.checkSentAt);
     } else if (reply.status == StoreStatus::Conflict) {
         reader.failures = 0;
-        for (const StoreEntry& entry : reply.entries)
+        for (const StoreEntry& entry : reply.entries) {
+            recordTransfer(state, "store", entry, now.steady - reader.checkSentAt, actions);
             applyConfiguration(state, entry, reader.checkSentAt, actions);
+        }
     } else if (reply.status != StoreStatus::Ok) {
         recordFailure(state, reply.status, now, actions);
     }
@@ -128,15 +138,17 @@
     return peers.empty() ? std::string() : peers[randomBelow(state, peers.size())];
 }
 
-static void handleTransfer(CellState& state, const wire::PeerMessage* answer, TimePoint sentAt, CellActions& actions)
+static void handleTransfer(CellState& state, const std::string& peer, const wire::PeerMessage* answer, TimePoint sentAt, const Instant& now, CellActions& actions)
 {
     state.declarations.transferSince.reset();
     if (!answer || !answer->has_configuration_answer())
         return;
     const wire::ConfigurationAnswer& body = answer->configuration_answer();
-    const wire::StoreItem& item = body.record();
-    if (body.has_record())
-        applyConfiguration(state, { item.key(), item.value(), item.revision() }, sentAt - fromMilliseconds(body.age_ms()), actions);
+    if (!body.has_record())
+        return;
+    StoreEntry record { body.record().key(), body.record().value(), body.record().revision() };
+    recordTransfer(state, peer, record, now.steady - sentAt, actions);
+    applyConfiguration(state, record, sentAt - fromMilliseconds(body.age_ms()), actions);
 }
 
 static void transferFrom(CellState& state, const std::string& peer, const Instant& now, CellActions& actions)
@@ -148,7 +160,7 @@
     wire::PeerMessage query;
     query.mutable_configuration_query()->set_wants_record(true);
     TimePoint sentAt = now.steady;
-    auto then = [sentAt](CellState& s, const wire::PeerMessage* answer, const Instant&, CellActions& out) { handleTransfer(s, answer, sentAt, out); };
+    auto then = [peer, sentAt](CellState& s, const wire::PeerMessage* answer, const Instant& at, CellActions& out) { handleTransfer(s, peer, answer, sentAt, at, out); };
     queryPeer(state, peer, std::move(query), kTransferTimeout, then, now, actions);
 }
 
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -441,6 +441,14 @@
     return isAllowed && row.call.verb == Verb::Lookup ? Admission::Decided : Admission::Refused;
 }
 
+/// Notes that the call is allowed by a configuration past its deadline.
+static void recordOldDecision(CellState& state, const EntryRow& row, TimePoint now, CellActions& actions)
+{
+    state.counters.add("entry_decided_without_store_total");
+    std::string version = std::to_string(state.configuration.value->version);
+    logMessage(actions, LogLevel::Info, "entry.old-configuration", "", row.jobId, "decided by configuration version " + version + ", last confirmed " + describeAge(state.configuration.confirmation, now) + ", as the store is out of reach");
+}
+
 /// Decides the call, or leaves it in the table until it can be decided.
 static void decide(CellState& state, EntryRow& row, const Instant& now, CellActions& actions)
 {
@@ -456,6 +464,8 @@
         reply(state, row.call.id, *fault, actions);
         return;
     }
+    if (!isConfigurationCurrent(state, now.steady))
+        recordOldDecision(state, row, now.steady, actions);
     bool needsStore = row.call.verb != Verb::Lookup;
     if (needsStore && !isStoreReachable(state))
         failCall(state, EntryRow(row), "the store is out of reach", actions);
