Act on old declarations only while the store is away from the whole fleet

Cause: three failed store calls in a row were taken for an outage, during which no change can be confirmed, so that lookups and, at an owner, starts went on past the age of their inputs. But an instance's own link may be full, or the store may turn just this instance away; even a peer's word that a newer configuration exists changed nothing. Class: an instance takes its own failure for a state of the whole fleet.

Why it works: an outage is believed only if the last three answers of peers (all peers of smaller fleets), at most 1.5 s old, say that the store has confirmed nothing to them either, and none has named a newer revision. Otherwise the call is rejected at once, so that its caller goes to another instance, and the owner starts nothing. Tests that lookups and starts go on in an outage for all instances hold before and after.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -366,6 +366,10 @@
     int failures { 0 }; ///< Consecutive checks without a usable answer.
     bool isAskingPeer { false };
     TimePoint nextPeerQuery;
+    StoreRevision newestRevision { 0 }; ///< Highest revision of the configuration that any peer has named.
+    /// Consecutive answers of peers that know no newer configuration, and that the store has not served lately either.
+    std::size_t answersWithoutStore { 0 };
+    TimePoint answerWithoutStoreAt; ///< When the query for the latest of them was sent.
     std::optional<TimePoint> transferSince; ///< Start of the latest transfer of a configuration from a peer; unset: ended.
     ListingReader evacuations;
     ListingReader waveListing;
--- a/src/cell/Declarations.cpp
+++ b/src/cell/Declarations.cpp
@@ -17,6 +17,10 @@
 static constexpr Duration kPeerQueryAge = std::chrono::milliseconds(1000);
 static constexpr Duration kPeerQueryInterval = std::chrono::milliseconds(200);
 static constexpr Duration kPeerQueryTimeout = std::chrono::milliseconds(400);
+/// An outage of the store is believed as long as peers go on to confirm it.
+static constexpr Duration kPeerAnswerValidity = std::chrono::milliseconds(1500);
+/// A single peer may be without the store for the same reason as this instance.
+static constexpr std::size_t kAnswersForOutage = 3;
 /// A configuration may be large and pass two slow links.
 static constexpr Duration kTransferTimeout = std::chrono::milliseconds(4000);
 /// A transfer from a peer that takes longer does not keep another from starting: the peer may have died.
@@ -38,6 +42,25 @@
     return isCurrent(state.configuration.confirmation, state.settings.configurationDeadline, now);
 }
 
+static std::size_t knownPeers(const CellState& state)
+{
+    const auto& instances = state.membership.instances;
+    return instances.size() - instances.count(state.settings.instance);
+}
+
+bool isStoreAwayFromFleet(const CellState& state, TimePoint now)
+{
+    if (isStoreReachable(state))
+        return false;
+    const DeclarationReader& reader = state.declarations;
+    const Confirmation& confirmation = state.configuration.confirmation;
+    if (reader.newestRevision > confirmation.revision || isCurrent(confirmation, kPeerQueryAge, now))
+        return false;
+    std::size_t needed = std::min(kAnswersForOutage, knownPeers(state));
+    bool isRecent = now - reader.answerWithoutStoreAt < kPeerAnswerValidity;
+    return needed == 0 || (isRecent && reader.answersWithoutStore >= needed);
+}
+
 // The configuration.
 
 /// Replaces the configuration if the version is higher. Versions never go back.
@@ -166,15 +189,22 @@
 
 static void handlePeerAnswer(CellState& state, const std::string& peer, const wire::PeerMessage* answer, TimePoint sentAt, const Instant& now, CellActions& actions)
 {
-    state.declarations.isAskingPeer = false;
+    DeclarationReader& reader = state.declarations;
+    reader.isAskingPeer = false;
     if (!answer || !answer->has_configuration_answer() || !answer->configuration_answer().known())
         return;
     const wire::ConfigurationAnswer& body = answer->configuration_answer();
     Confirmation& confirmation = state.configuration.confirmation;
+    reader.newestRevision = std::max<StoreRevision>(reader.newestRevision, body.revision());
+    if (body.revision() > confirmation.revision) {
+        transferFrom(state, peer, now, actions);
+        return;
+    }
     if (body.revision() == confirmation.revision)
         confirmation = confirmedAgain(confirmation, sentAt - fromMilliseconds(body.age_ms()));
-    else if (body.revision() > confirmation.revision)
-        transferFrom(state, peer, now, actions);
+    bool isPeerServed = body.age_ms() < toMilliseconds(kPeerQueryAge);
+    reader.answersWithoutStore = isPeerServed ? 0 : reader.answersWithoutStore + 1;
+    reader.answerWithoutStoreAt = sentAt;
 }
 
 static void askPeer(CellState& state, const Instant& now, CellActions& actions)
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -438,7 +438,8 @@
         return Admission::Decided;
     if (isStoreReachable(state))
         return Admission::Waits;
-    return isAllowed && row.call.verb == Verb::Lookup ? Admission::Decided : Admission::Refused;
+    bool mayGoOn = isAllowed && row.call.verb == Verb::Lookup && isStoreAwayFromFleet(state, now);
+    return mayGoOn ? Admission::Decided : Admission::Refused;
 }
 
 /// Notes that the call is allowed by a configuration past its deadline.
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -66,7 +66,7 @@
     return upstream.isStored && isHealthy && isOpen(state, upstream) && upstream.clockKnown && !upstream.isReplaced;
 }
 
-/// While the store is away nobody can drain an upstream or evacuate a domain, so that starts go on.
+/// While the store is away from the whole fleet nobody can drain an upstream or evacuate a domain, so that starts go on.
 bool mayStartTasks(const CellState& state, TimePoint now)
 {
     const Ownership& ownership = state.ownership;
@@ -75,7 +75,7 @@
     bool areInputsCurrent = isConfigurationCurrent(state, now)
         && isCurrent(state.evacuated.confirmation, state.settings.evacuationDeadline - kOrderMargin, now)
         && isCurrent(ownership.directory, state.settings.drainDeadline - kOrderMargin, now);
-    return areInputsCurrent || !isStoreReachable(state);
+    return areInputsCurrent || isStoreAwayFromFleet(state, now);
 }
 
 std::int64_t leaseUntil(const CellState& state, const UpstreamRow& upstream, TimePoint now)
--- a/tests/DeclarationsTest.cpp
+++ b/tests/DeclarationsTest.cpp
@@ -161,6 +161,123 @@
     BOOST_TEST((outcomeOf(cell, cut, "/unknown/") == EntryOutcome::NoRoute));
 }
 
+static const std::string kRemovedPrefix = "/removed/";
+
+/// Submits a job on a route that is in force everywhere, for a test that removes the route.
+static void submitOnRemovableRoute(CellFixture& cell)
+{
+    cell.emulator.addRoute(kRemovedPrefix, 0);
+    BOOST_REQUIRE(waitInForce(cell, 2));
+    cell.emulator.submit(jobId(1), makeJob(makeScript(60000), { makeStep(1, 500) }), cell.owner(), std::chrono::seconds(3), kRemovedPrefix);
+    BOOST_REQUIRE(cell.emulator.runUntil(std::chrono::seconds(2), [&cell] { return cell.emulator.jobs().at(jobId(1)).isAnswered; }));
+}
+
+static void removeRoute(CellFixture& cell)
+{
+    cell.emulator.policy().routes.pop_back();
+    ++cell.emulator.policy().version;
+}
+
+// An instance took its own failures for an outage of the store, during which no change can be confirmed.
+BOOST_AUTO_TEST_CASE(LookupIsAnsweredOnARemovedRouteByAnInstanceAloneWithoutTheStore)
+{
+    CellFixture cell;
+    submitOnRemovableRoute(cell);
+    std::size_t cut = cell.owner();
+    cell.emulator.blackholeStore(cut, true);
+    cell.emulator.setFramesLost(true);
+    // So that no upstream tells the owner of its successor.
+    for (const std::string& id : cell.emulator.upstreamIds())
+        cell.emulator.cutUpstream(id, true);
+    removeRoute(cell);
+    cell.emulator.runFor(kInForce + std::chrono::seconds(1));
+    BOOST_TEST((cell.emulator.lookUp(jobId(1), cut, kRemovedPrefix).outcome == EntryOutcome::Refused));
+}
+
+// Peers had named a newer configuration, which took long to arrive.
+BOOST_AUTO_TEST_CASE(LookupIsAnsweredByAConfigurationThatPeersHaveReplaced)
+{
+    CellFixture cell;
+    submitOnRemovableRoute(cell);
+    std::size_t cut = cell.owner();
+    cell.emulator.setTransfersLost(true);
+    cell.emulator.blackholeStore(cut, true);
+    removeRoute(cell);
+    cell.emulator.runFor(std::chrono::milliseconds(900));
+    cell.emulator.setStoreDown(true);
+    cell.emulator.runFor(kInForce + std::chrono::seconds(1));
+    BOOST_TEST((cell.emulator.lookUp(jobId(1), cut, kRemovedPrefix).outcome == EntryOutcome::Refused));
+}
+
+BOOST_AUTO_TEST_CASE(LookupsGoOnWhileTheStoreIsAwayFromAllInstances)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.seed = seed;
+            CellFixture cell(settings);
+            cell.emulator.submit(jobId(1), makeJob(makeScript(60000), { makeStep(1, 500) }), cell.owner());
+            cell.emulator.runFor(std::chrono::seconds(1));
+            cell.emulator.setStoreDown(true);
+            for (int n = 0; n < 45; ++n) {
+                BOOST_TEST((cell.emulator.lookUp(jobId(1), cell.owner()).outcome == EntryOutcome::State));
+                cell.emulator.runFor(std::chrono::milliseconds(100));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(TasksStartWhileTheStoreIsAwayFromAllInstances)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.seed = seed;
+            settings.upstreams = 1;
+            CellFixture cell(settings);
+            for (int n = 1; n <= 20; ++n)
+                cell.emulator.submit(jobId(n), makeJob(makeScript(400), { makeStep(4, 2000) }), cell.owner());
+            cell.emulator.runFor(std::chrono::seconds(1));
+            cell.emulator.setStoreDown(true);
+            cell.emulator.runFor(std::chrono::milliseconds(4500));
+            std::size_t started = cell.emulator.history().size();
+            // A round of tasks starts every 0.4 s.
+            BOOST_TEST(started >= 4U * 11U);
+            cell.checkRules();
+        }
+    }
+}
+
+// The owner is the last of its fleet, and the store serves the operators but not the owner.
+BOOST_AUTO_TEST_CASE(OwnerAloneWithoutTheStoreStartsTasksOnDrainingUpstreams)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.seed = seed;
+            settings.upstreams = 1;
+            CellFixture cell(settings);
+            std::size_t owner = cell.owner();
+            for (int n = 1; n <= 40; ++n)
+                cell.emulator.submit(jobId(n), makeJob(makeScript(400), { makeStep(4, 2000) }), owner);
+            cell.emulator.runFor(std::chrono::seconds(1));
+            for (std::size_t n = 0; n < 3; ++n) {
+                if (n != owner)
+                    cell.emulator.kill(n);
+            }
+            cell.emulator.blackholeStore(owner, true);
+            cell.emulator.drainUpstream("u0", true);
+            TimePoint drainedAt = cell.emulator.now();
+            cell.emulator.runFor(std::chrono::seconds(5));
+            for (const RunRecord& run : cell.emulator.history())
+                BOOST_TEST((run.from <= drainedAt + kInForce));
+        }
+    }
+}
+
 // The owner read no entry of the directory for eight seconds, and started tasks on upstreams that were leaving.
 BOOST_AUTO_TEST_CASE(TasksStartOnDrainingUpstreamsWhileTheDirectoryIsUnreadable)
 {
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cell.pb.h"
+
 namespace crocuslever::cell::testing {
 
 static constexpr Duration kTickInterval = std::chrono::milliseconds(8);
@@ -233,9 +235,9 @@
     deliverNow({ instance, m_instances[instance].incarnations }, call);
 }
 
-EntryReply CellEmulator::lookUp(const std::string& id, std::size_t instance)
+EntryReply CellEmulator::lookUp(const std::string& id, std::size_t instance, const std::string& prefix)
 {
-    EntryCall call { m_nextCall++, Verb::Lookup, "host", "/jobs/" + id, "", std::nullopt, std::chrono::seconds(3) };
+    EntryCall call { m_nextCall++, Verb::Lookup, "host", prefix + id, "", std::nullopt, std::chrono::seconds(3) };
     std::optional<EntryReply> answer;
     m_calls[{ instance, call.id }] = [&answer](const EntryReply& reply) { answer = reply; };
     deliverNow({ instance, m_instances[instance].incarnations }, call);
@@ -319,10 +321,13 @@
 
 void CellEmulator::perform(const Caller& caller, const ConfigurationCheck& call)
 {
-    if (isStoreUnavailable(caller.instance))
+    if (isStoreUnavailable(caller.instance)) {
         failStoreCall(caller, call.ticket, StoreStatus::Refused);
-    else
-        deliver(caller, latency(3, 8), m_declarations.check(call));
+        return;
+    }
+    StoreReply reply = m_declarations.check(call);
+    Duration transferTime = reply.entries.empty() ? Duration(0) : m_transferTime;
+    deliver(caller, latency(3, 8) + transferTime, reply);
 }
 
 void CellEmulator::perform(const Caller& caller, const StoreAwait& call)
@@ -551,16 +556,25 @@
     deliver(caller, free - now(), result);
 }
 
+static bool holdsConfiguration(const SendPeerFrame& frame)
+{
+    cellwire::PeerMessage message;
+    return message.ParseFromString(frame.bytes) && message.configuration_answer().has_record();
+}
+
 void CellEmulator::perform(const Caller&, const SendPeerFrame& frame)
 {
     if (m_keepsLastFrame)
         m_lastFrame = frame.bytes;
-    if (m_areFramesLost)
+    bool isTransfer = holdsConfiguration(frame);
+    m_transfersBetweenInstances += isTransfer ? 1 : 0;
+    if (m_areFramesLost || (m_areTransfersLost && isTransfer))
         return;
+    Duration transferTime = isTransfer ? m_transferTime : Duration(0);
     for (std::size_t n = 0; n < m_instances.size(); ++n) {
         bool isReceiver = m_instances[n].state && m_instances[n].state->settings.address == frame.address;
         if (isReceiver)
-            deliver({ n, m_instances[n].incarnations }, latency(1, 3), PeerFrame { "", frame.bytes });
+            deliver({ n, m_instances[n].incarnations }, latency(1, 3) + transferTime, PeerFrame { "", frame.bytes });
     }
 }
 
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -57,7 +57,7 @@
     Route& addRoute(const std::string& prefix, int priority);
     void cancel(const std::string& id, std::size_t instance);
     /// The instance's answer to a lookup of the job.
-    EntryReply lookUp(const std::string& id, std::size_t instance);
+    EntryReply lookUp(const std::string& id, std::size_t instance, const std::string& prefix = "/jobs/");
     const std::map<std::string, CallerJob>& jobs() const { return m_jobs; }
 
     // Faults.
@@ -78,6 +78,10 @@
     void drainUpstream(const std::string& id, bool isDraining) { m_upstreams.at(id).entry.draining = isDraining; }
     /// Drops all frames between instances.
     void setFramesLost(bool areLost) { m_areFramesLost = areLost; }
+    /// Drops the frames between instances that hold a configuration.
+    void setTransfersLost(bool areLost) { m_areTransfersLost = areLost; }
+    /// The time that a configuration takes to reach an instance, from the store as from a peer.
+    void setTransferTime(Duration time) { m_transferTime = time; }
     void setStoreDown(bool isDown) { m_storeDown = isDown; }
     void cutUpstream(const std::string& id, bool isCut) { m_upstreams.at(id).isCut = isCut; }
     void crashUpstream(const std::string& id);
@@ -101,6 +105,8 @@
     Duration adviceBusy() const { return m_adviceBusy; }
     /// Number of configurations in the store's answers to all instances.
     int configurationsRead() const { return m_declarations.configurationsRead(); }
+    /// Number of configurations that instances have sent to each other.
+    int transfersBetweenInstances() const { return m_transfersBetweenInstances; }
 
 private:
     struct InstanceSlot {
@@ -181,6 +187,9 @@
     CallId m_nextCall { 1 };
     std::int64_t m_endsListed { 0 };
     bool m_areFramesLost { false };
+    bool m_areTransfersLost { false };
+    Duration m_transferTime { 0 };
+    int m_transfersBetweenInstances { 0 };
     bool m_keepsLastFrame { false };
     std::string m_lastFrame;
     /// When the advice service can serve the next question, by instance; it serves them sequentially.
