Request no configuration from a peer while one may be arriving from the store

Once the last confirmation was 1 s old, which is 0.4 s into the transfer, a peer was asked and a second copy requested over the same link, so that each slowed the other and the change came into force up to twice as late.

ConfigurationIsTransferredTwiceOverASlowLink failed before (one copy too many in ten changes). Now no copy is requested from a peer within 1 s of a check by the store that is still in flight, the patience that a transfer from a peer has, too.

--- a/src/cell/Declarations.cpp
+++ b/src/cell/Declarations.cpp
@@ -176,8 +176,12 @@
 
 static void transferFrom(CellState& state, const std::string& peer, const Instant& now, CellActions& actions)
 {
+    const DeclarationReader& reader = state.declarations;
+    // The answer to the check may be the same configuration, and would share the link with the transfer.
+    bool isCheckRecent = reader.isChecking && now.steady - reader.checkSentAt < kTransferPatience;
     std::optional<TimePoint>& since = state.declarations.transferSince;
-    if (since && now.steady - *since < kTransferPatience)
+    bool isTransferRecent = since && now.steady - *since < kTransferPatience;
+    if (isCheckRecent || isTransferRecent)
         return;
     since = now.steady;
     wire::PeerMessage query;
--- a/tests/DeclarationsTest.cpp
+++ b/tests/DeclarationsTest.cpp
@@ -278,6 +278,20 @@
     }
 }
 
+// A large configuration was arriving from the store when a second copy was requested from a peer over the same link.
+BOOST_AUTO_TEST_CASE(ConfigurationIsTransferredTwiceOverASlowLink)
+{
+    CellFixture cell;
+    cell.emulator.setTransferTime(std::chrono::milliseconds(900));
+    int before = cell.emulator.transfersBetweenInstances();
+    for (int n = 0; n < 10; ++n) {
+        ++cell.emulator.policy().version;
+        BOOST_TEST(waitInForce(cell, cell.emulator.policy().version));
+        cell.emulator.runFor(std::chrono::milliseconds(130));
+    }
+    BOOST_TEST(cell.emulator.transfersBetweenInstances() == before);
+}
+
 // The owner read no entry of the directory for eight seconds, and started tasks on upstreams that were leaving.
 BOOST_AUTO_TEST_CASE(TasksStartOnDrainingUpstreamsWhileTheDirectoryIsUnreadable)
 {
