Visit all upstreams less often the more there are

Now the interval grows by 10 us an upstream: 14 ms for 1,100, 3.5 ms for 48. A poll may start that much later, against polls of a second.

--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -20,7 +20,9 @@
 static constexpr int kFailuresPerLogLine = 8; ///< Of consecutive failures the first is logged, and then one in this many.
 /// Readings of the directory in the time in which a drain has to be heeded.
 static constexpr int kDirectoryReadingsPerDeadline = 5;
-static constexpr Duration kScanInterval = std::chrono::milliseconds(3); ///< Between passes over all upstreams.
+/// Between passes over all upstreams: this, and more for each upstream, so that passes take a bounded share of the time.
+static constexpr Duration kScanInterval = std::chrono::milliseconds(3);
+static constexpr Duration kScanIntervalPerUpstream = std::chrono::microseconds(10);
 static constexpr Duration kPollWait = std::chrono::milliseconds(1000); ///< Long poll; an upstream answers earlier if a run ends.
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
 static constexpr Duration kUnstoredEndsInterval = std::chrono::milliseconds(50); ///< Between polls while run ends are not stored yet.
@@ -393,7 +395,7 @@
     storeKnownUpstreams(state, actions);
     if (now.steady < ownership.nextUpstreamScan)
         return;
-    ownership.nextUpstreamScan = now.steady + kScanInterval;
+    ownership.nextUpstreamScan = now.steady + kScanInterval + static_cast<std::int64_t>(state.upstreams.size()) * kScanIntervalPerUpstream;
     for (auto it = state.upstreams.begin(); it != state.upstreams.end();) {
         UpstreamRow& upstream = it->second;
         endExpiredRuns(state, upstream, now, actions);
