Do not poll an upstream again before its ends can have been stored

An upstream with an unstored end answers a poll at once and lists the end again, and was polled every 58 ms while a commit took up to 300 ms.

Now the pause is at least the smoothed latency of commits; once the ends are stored, the poll that acknowledges them is sent at once, as before. A store that answers within 50 ms changes nothing.

--- a/src/cell/Commits.cpp
+++ b/src/cell/Commits.cpp
@@ -21,6 +21,7 @@
 static constexpr std::size_t kMaxEntriesPerEndedJob = 4;
 /// Part of a transaction that ended jobs leave to others, whose run ends could otherwise never be acknowledged.
 static constexpr std::size_t kEntriesForContinuingJobs = 8;
+static constexpr int kLatencySamples = 8; ///< Weight of the past in the smoothed latency of commits.
 static constexpr Duration kFinishedSweepInterval = std::chrono::seconds(1);
 
 namespace {
@@ -30,6 +31,7 @@
     std::size_t lane { 0 };
     std::vector<std::string> jobs;
     std::int64_t changes { 0 }; ///< The jobs' changes up to this number are included.
+    TimePoint sentAt;
 };
 
 } // namespace
@@ -201,6 +203,8 @@
     CommitLane& lane = state.commits.lanes[batch.lane];
     lane.inFlight = false;
     if (reply.status == StoreStatus::Ok) {
+        Duration& latency = state.commits.latency;
+        latency += (now.steady - batch.sentAt - latency) / kLatencySamples;
         lane.lastRevision = reply.revision;
         recordStored(state, batch, now);
         return;
@@ -218,7 +222,7 @@
 }
 
 /// Returns false if there was nothing to commit.
-static bool commit(CellState& state, std::size_t laneNumber, CellActions& actions)
+static bool commit(CellState& state, std::size_t laneNumber, TimePoint now, CellActions& actions)
 {
     CommitLane& lane = state.commits.lanes[laneNumber];
     StoreChange command;
@@ -226,9 +230,10 @@
     // commit that is applied after its successor would restore old records.
     command.conditions = { { kEpochKey, state.ownership.epochRevision }, { commitKey(laneNumber), lane.lastRevision } };
     command.puts.push_back({ commitKey(laneNumber), std::to_string(state.ownership.token), 0 });
-    std::shared_ptr<const Batch> batch = std::make_shared<Batch>(fillBatch(state, laneNumber, command));
+    std::shared_ptr<Batch> batch = std::make_shared<Batch>(fillBatch(state, laneNumber, command));
     if (batch->jobs.empty())
         return false;
+    batch->sentAt = now;
     lane.inFlight = true;
     state.counters.add("commits_total");
     std::int64_t token = state.ownership.token;
@@ -268,7 +273,7 @@
         const CommitLane& lane = commits.lanes[n];
         bool isIdle = !lane.inFlight && now.steady >= lane.retryAt;
         bool hasJobs = sizeOf(lane.bound) + sizeOf(commits.unbound) > 0;
-        if (isIdle && hasJobs && commit(state, n, actions))
+        if (isIdle && hasJobs && commit(state, n, now.steady, actions))
             commits.nextCommit += commitInterval(commits);
     }
 }
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -534,12 +534,15 @@
         finishRun(state, upstream, name, how, "", now, actions);
 }
 
-static Duration pollDelay(const UpstreamRow& upstream)
+/// An upstream with unstored ends answers at once and lists them again, so it is not polled before they can have been
+/// stored. acknowledgeStoredEnds() ends the wait.
+static Duration pollDelay(const CellState& state, const UpstreamRow& upstream)
 {
     std::int64_t unstored = upstream.lastEnd - upstream.acknowledged;
     if (unstored == 0 && upstream.unknownRuns == 0)
         return Duration(0);
-    return std::min(kMaxPollInterval, kUnstoredEndsInterval + kIntervalPerUnstoredEnd * unstored);
+    Duration interval = std::max(kUnstoredEndsInterval, state.commits.latency);
+    return std::min(kMaxPollInterval, interval + kIntervalPerUnstoredEnd * unstored);
 }
 
 static void applyPollResult(CellState& state, UpstreamRow& upstream, const PollResult& result, const Instant& now, CellActions& actions)
@@ -559,7 +562,7 @@
         state.placementDue = true;
         logMessage(actions, LogLevel::Info, "upstream.fence", upstream.entry.id, "", "accepted fencing token " + std::to_string(state.ownership.token) + "; " + std::to_string(result.running.size()) + " running, " + std::to_string(result.ended.size()) + " ended");
     }
-    upstream.nextPoll = now.steady + pollDelay(upstream);
+    upstream.nextPoll = now.steady + pollDelay(state, upstream);
 }
 
 static void countFailedPoll(CellState& state, UpstreamRow& upstream, OrderOutcome outcome, const Instant& now, CellActions& actions)
--- a/tests/CellLoadTest.cpp
+++ b/tests/CellLoadTest.cpp
@@ -152,6 +152,29 @@
     checkRules();
 }
 
+// While commits took long, each end was listed again in several answers before it was stored.
+BOOST_AUTO_TEST_CASE(EndsAreListedAgainBeforeTheyCanBeStored)
+{
+    constexpr int kJobsPerSecond = 100;
+    constexpr int kSeconds = 5;
+    constexpr int kMostListings = 3; ///< Of one end.
+    EmulatorSettings settings;
+    settings.upstreams = 200;
+    settings.capacity = { 64000, 256000, 0, 0 };
+    settings.storeDelay = std::chrono::milliseconds(300);
+    CellFixture fixture(settings);
+    CellEmulator& emulator = fixture.emulator;
+    for (int n = 1; n <= kJobsPerSecond * kSeconds; ++n) {
+        emulator.submit(jobId(n), makeJob(makeScript(200 + n % 300), { makeStep(2, 30000) }), fixture.other());
+        emulator.runFor(std::chrono::milliseconds(1000 / kJobsPerSecond));
+    }
+    emulator.runFor(std::chrono::seconds(2));
+    std::int64_t ends = static_cast<std::int64_t>(emulator.history().size());
+    BOOST_CHECK_GE(ends, 2 * kJobsPerSecond * kSeconds);
+    BOOST_CHECK_LE(emulator.endsListed(), kMostListings * ends);
+    fixture.checkRules();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace crocuslever::cell::testing
