Split the directory and the incarnations of upstreams from their polls

What tells which upstreams there are (directory, record of known upstreams, restarts, crashes) stands in UpstreamDirectory.cpp now. Moved without change, but for tickUpstreamDirectory(), which holds three lines of tickUpstreams().

--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -6,6 +6,7 @@
 #include "src/cell/Keys.h"
 #include "src/cell/Membership.h"
 #include "src/cell/StoreCalls.h"
+#include "src/cell/UpstreamDirectory.h"
 #include "src/cell/Upstreams.h"
 
 namespace crocuslever::cell {
--- a/src/cell/Upstreams.h
+++ b/src/cell/Upstreams.h
@@ -8,14 +8,11 @@
 // own listing is authoritative; a run that may exist holds room here until its
 // end is confirmed.
 
-/// Reads the directory, polls each upstream, and ends runs whose leases have expired.
+/// Keeps the directory current, polls each upstream, and ends runs whose leases have expired.
 void tickUpstreams(CellState&, const Instant& now, CellActions&);
 
 void handlePoll(CellState&, const PollResult&, const Instant& now, CellActions&);
 
-/// Adds an upstream that an earlier owner may have placed runs on.
-void addEarlierUpstream(CellState&, const UpstreamTarget&, TimePoint now);
-
 UpstreamTarget targetOf(const UpstreamRow&);
 
 /// True if neither the directory nor the operators keep new runs off the upstream.
