Let lanes with a failed commit go first

JobOfAFailedCommitWaitsWhileOthersAreStored fails without it (not stored after 20 turns). Lanes with jobs of their own take turns now, and take other jobs along. JobChangesItsLaneWhileItsCommitMayStillBeApplied holds what lanes are for.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -322,6 +322,7 @@
     std::unordered_set<std::string> dirty; ///< Jobs with changes that no commit in flight contains.
     std::int64_t changes { 0 }; ///< Number of changes so far.
     TimePoint nextCommit; ///< Of any lane.
+    std::size_t lastLane { 0 }; ///< Lane of the latest commit.
     Duration latency { 0 }; ///< Smoothed time from sending a commit to reading its answer.
 };
 
--- a/src/cell/Commits.cpp
+++ b/src/cell/Commits.cpp
@@ -1,6 +1,7 @@
 #include "src/cell/Commits.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
@@ -260,6 +261,23 @@
     return commits.dirty.size() < kMaxEntriesPerChange / kMaxEntriesPerEndedJob ? kCommitInterval : kBacklogInterval;
 }
 
+/// The lane of the next commit; nothing if none may send one. Lanes with jobs of their own take turns, and take other jobs
+/// along; else any idle lane does.
+static std::optional<std::size_t> chooseLane(const CommitQueue& commits, TimePoint now)
+{
+    std::optional<std::size_t> idle;
+    for (std::size_t k = 0; k < kLanes; ++k) {
+        std::size_t n = (commits.lastLane + 1 + k) % kLanes;
+        const CommitLane& lane = commits.lanes[n];
+        if (lane.inFlight || now < lane.retryAt)
+            continue;
+        if (sizeOf(lane.bound) > 0)
+            return n;
+        idle = std::min(idle.value_or(n), n);
+    }
+    return sizeOf(commits.unbound) > 0 ? idle : std::nullopt;
+}
+
 void tickCommits(CellState& state, const Instant& now, CellActions& actions)
 {
     if (!isOwner(state))
@@ -269,11 +287,12 @@
     commits.lanes.resize(kLanes);
     // A busy owner makes up for turns that came late.
     commits.nextCommit = std::max(commits.nextCommit, now.steady - static_cast<int>(kLanes) * kBacklogInterval);
-    for (std::size_t n = 0; n < kLanes && now.steady >= commits.nextCommit; ++n) {
-        const CommitLane& lane = commits.lanes[n];
-        bool isIdle = !lane.inFlight && now.steady >= lane.retryAt;
-        bool hasJobs = sizeOf(lane.bound) + sizeOf(commits.unbound) > 0;
-        if (isIdle && hasJobs && commit(state, n, now.steady, actions))
+    while (now.steady >= commits.nextCommit) {
+        std::optional<std::size_t> lane = chooseLane(commits, now.steady);
+        if (!lane)
+            return;
+        commits.lastLane = *lane;
+        if (commit(state, *lane, now.steady, actions))
             commits.nextCommit += commitInterval(commits);
     }
 }
--- a/tests/CellLoadTest.cpp
+++ b/tests/CellLoadTest.cpp
@@ -2,7 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "src/cell/Commits.h"
 #include "src/cell/Jobs.h"
+#include "src/cell/Keys.h"
+#include "src/cell/StoreCalls.h"
 #include "tests/CellFixture.h"
 
 namespace crocuslever::cell::testing {
@@ -175,6 +178,84 @@
     fixture.checkRules();
 }
 
+/// An owner whose commits are answered by the test.
+struct CommittingOwner {
+    CommittingOwner()
+        : state({}, {})
+    {
+        state.ownership.phase = OwnerPhase::Deciding;
+    }
+
+    void change(const std::string& id)
+    {
+        JobRow& job = state.jobs[id];
+        job.record.id = id;
+        markDirty(state, job);
+    }
+
+    /// Returns the ticket of the commit that is due; 0: none.
+    Ticket commit()
+    {
+        now.steady += std::chrono::milliseconds(20);
+        CellActions actions;
+        tickCommits(state, now, actions);
+        return actions.empty() ? 0 : std::get<StoreChange>(actions.front()).ticket;
+    }
+
+    void answer(Ticket ticket, StoreStatus status)
+    {
+        CellActions actions;
+        StoreReply reply;
+        reply.ticket = ticket;
+        reply.status = status;
+        completeStoreCall(state, reply, now, actions);
+    }
+
+    Instant now { TimePoint(std::chrono::seconds(1000)), 0 };
+    CellState state;
+};
+
+// A job whose commit had failed waited for its lane, while a lane before it took all turns.
+BOOST_AUTO_TEST_CASE(JobOfAFailedCommitWaitsWhileOthersAreStored)
+{
+    CommittingOwner owner;
+    owner.change("a");
+    Ticket first = owner.commit();
+    owner.change("b");
+    Ticket second = owner.commit();
+    owner.answer(second, StoreStatus::Refused);
+    owner.answer(first, StoreStatus::Ok);
+    constexpr int kTurns = 20;
+    for (int n = 0; n < kTurns; ++n) {
+        owner.change("c" + std::to_string(n));
+        Ticket ticket = owner.commit();
+        BOOST_REQUIRE(ticket != 0);
+        owner.answer(ticket, StoreStatus::Ok);
+    }
+    BOOST_TEST(owner.state.jobs.at("b").stored >= owner.state.jobs.at("b").changed);
+}
+
+// A late commit would undo a newer one that had used another lane.
+BOOST_AUTO_TEST_CASE(JobChangesItsLaneWhileItsCommitMayStillBeApplied)
+{
+    CommittingOwner owner;
+    owner.change("a");
+    Ticket lost = owner.commit();
+    owner.change("a");
+    BOOST_TEST(owner.commit() == 0U);
+    owner.answer(lost, StoreStatus::NoAnswer);
+    owner.now.steady += std::chrono::seconds(1);
+    owner.change("b");
+    CellActions actions;
+    tickCommits(owner.state, owner.now, actions);
+    const StoreChange& retry = std::get<StoreChange>(actions.front());
+    auto writes = [&retry](const std::string& key) {
+        return std::any_of(retry.puts.begin(), retry.puts.end(), [&key](const StorePut& it) { return it.key == key; });
+    };
+    BOOST_TEST(writes(commitKey(0)));
+    BOOST_TEST(writes(progressKey("a")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace crocuslever::cell::testing
