--- a/include/crocuslever/TaskSpec.h
+++ b/include/crocuslever/TaskSpec.h
@@ -23,7 +23,7 @@
 /// A caller's description of the work that it submits.
 struct TaskSpec {
     WorkKind kind { WorkKind::Batch };
-    std::string service; ///< Name of the handler at the upstream, e.g. "refit-plan".
+    std::string service; ///< Name of the handler at the upstream, e.g. "report".
     bool idempotent { false }; ///< Non-idempotent work starts at most once.
     Resources resources { 1000, 256, 0, 1 }; ///< Needed by each task.
     int taskCount { 1 }; ///< May exceed one only for gangs and services.
