--- a/review/standin/Cell.h
+++ b/review/standin/Cell.h
@@ -33,6 +33,9 @@
     std::string name;
     std::string prefix;
     int attempts { 4 };
+    /// What the advice service takes for a call, and for each worker named in it; 0: the queue has no advice.
+    double adviceMs { 0 };
+    double adviceMsPerWorker { 0 };
 };
 
 inline std::string makeConfiguration(int version, const std::vector<Queue>& queues)
@@ -42,6 +45,10 @@
         routes.push_back({ { "name", it.name }, { "hostname", "desk.example" }, { "prefix", it.prefix }, { "kind", "unsafe" }, { "timeout-ms", 3000 }, { "target-duration-ms", 3000 },
             { "priority", 1 }, { "service", "desk" }, { "attempts", it.attempts }, { "stretch", 4.0 }, { "public", false } });
     }
+    for (std::size_t n = 0; n < queues.size(); ++n) {
+        if (queues[n].adviceMs > 0)
+            routes[n]["advice"] = { { "decide-ms", queues[n].adviceMs }, { "period-ms", queues[n].adviceMsPerWorker }, { "valid-ms", 1500 } };
+    }
     Json services = { { { "name", "desk" }, { "health-path", "/health" }, { "max-conns", 64 }, { "protocol", "h1" }, { "tls", false }, { "cold-start-s", 0.0 }, { "cold-per-s", 0.0 }, { "enforces-capacity", false }, { "spare", false } } };
     Json tenants = { { { "name", "team" }, { "api-keys", { "key-of-the-team" } }, { "priority", 1 }, { "weight", 26 }, { "cap", { { "cpu", 0 }, { "mem-mb", 0 }, { "gpu", 0 } } } } };
     Json limits = { { "max-header-bytes", 16384 }, { "max-body-bytes", 262144 }, { "header-timeout-ms", 3000 }, { "idle-timeout-ms", 15000 } };
@@ -59,6 +66,7 @@
     }
     ~Instance() { kill(); }
 
+    const std::string& advice() const { return m_advice; }
     const std::string& callers() const { return m_callers; }
     const std::string& peers() const { return m_peers; }
     const std::string& name() const { return m_name; }
@@ -70,7 +78,7 @@
         file << "instance: \"" << m_name << "\"\nfailure_domain: \"" << m_zone << "\"\n"
              << "listen:\n  callers: \"" << m_callers << "\"\n  readiness: \"" << m_readiness << "\"\n  metrics: \"" << m_metrics << "\"\n"
              << "peers:\n  listen: \"" << m_peers << "\"\n  seeds: [" << seeds << "]\n"
-             << "store: \"" << store << "\"\nadvice: \"" << m_nobody << "\"\nmachines: \"" << m_nobody << "\"\n"
+             << "store: \"" << store << "\"\nadvice: \"" << m_advice << "\"\nmachines: \"" << m_nobody << "\"\n"
              << "processor_share: 0.25\ndescriptors: 4100\n"
              << "upstreams:\n  longest_lease: \"10000ms\"\n  stop_time: \"900ms\"\n  drain_within: \"2000ms\"\n  gang_timeout: \"3000ms\"\n  remote_factor: 3\n"
              << "declarations:\n  in_force_within: \"2000ms\"\n  evacuate_within: \"5000ms\"\njobs:\n  keep_finished: \"120s\"\nstop:\n  grace: \"6s\"\n";
@@ -121,6 +129,7 @@
     std::string m_readiness { freeAddress() };
     std::string m_metrics { freeAddress() };
     std::string m_peers { freeAddress() };
+    std::string m_advice { freeAddress() };
     std::string m_nobody { freeAddress() }; ///< Nothing listens here.
     pid_t m_pid { 0 };
 };
