--- a/review/3/Case.cpp
+++ b/review/3/Case.cpp
@@ -2,8 +2,10 @@
 
 using namespace standin;
 
-/// The owner's process is killed, and starts again; one answer of the store to the new process is lost. It becomes owner before it has read a
-/// configuration. The first of a task's four attempts ends as failed meanwhile, and the job must go on with the second.
+// The owner's process is killed, and starts again; one answer of the store to the new process is lost. It becomes owner
+// before it has read a configuration. The first of a task's four attempts ends as failed meanwhile, and the job must go on
+// with the second.
+
 static constexpr std::int64_t kWorkMs = 1200;
 static constexpr std::int64_t kKillAfterStartMs = 1000;
 static constexpr std::int64_t kRestartDelayMs = 300;
