--- a/src/cell/Commits.cpp
+++ b/src/cell/Commits.cpp
@@ -147,7 +147,7 @@
         commits.boundTo.erase(job);
 }
 
-static void recordStored(CellState& state, const Batch& batch, const Instant& now)
+static void recordStored(CellState& state, const Batch& batch, const Instant& now, CellActions& actions)
 {
     std::set<std::string> upstreams;
     for (const std::string& id : batch.jobs) {
@@ -161,6 +161,7 @@
             job->endsHeldBy.clear();
         if (!job->ended || state.commits.dirty.count(id) > 0)
             continue;
+        logMessage(actions, LogLevel::Info, "job.stored", "", id, std::string("the end ") + toString(*job->ended) + " is stored, " + std::to_string(toMilliseconds(now.steady - batch.sentAt)) + " ms after its commit was sent");
         state.finished[id] = { *job->ended, now.steady + state.settings.finishedRetention };
         state.cancellations.erase(id);
         removeJob(state, id);
@@ -207,7 +208,7 @@
         Duration& latency = state.commits.latency;
         latency += (now.steady - batch.sentAt - latency) / kLatencySamples;
         lane.lastRevision = reply.revision;
-        recordStored(state, batch, now);
+        recordStored(state, batch, now, actions);
         return;
     }
     // Retries with the current records. Records only ever gain, so they cover those of the failed commit.
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -79,6 +79,19 @@
     return answer;
 }
 
+static bool isFinal(JobState state)
+{
+    return state == JobState::Completed || state == JobState::Failed || state == JobState::Cancelled;
+}
+
+/// Answers with the state of the job, as `source` knows it.
+static void showState(CellState& state, const EntryRow& row, JobState job, const std::string& source, CellActions& actions)
+{
+    if (isFinal(job))
+        logMessage(actions, LogLevel::Info, "entry.end", "", row.jobId, std::string("shown as ") + toString(job) + ", as known by " + source);
+    reply(state, row.call.id, makeState(job), actions);
+}
+
 static EntryReply makeRefusal(const std::string& reason)
 {
     EntryReply answer = makeReply(EntryOutcome::Refused, reason);
@@ -240,8 +253,10 @@
         retryLater(*row, now);
         return;
     }
-    bool isCancel = row->call.verb == Verb::Cancel;
-    reply(state, id, isCancel ? makeReply(EntryOutcome::Cancelled) : makeState(*ended), actions);
+    if (row->call.verb == Verb::Cancel)
+        reply(state, id, makeReply(EntryOutcome::Cancelled), actions);
+    else
+        showState(state, *row, *ended, "the store", actions);
 }
 
 static void readEnded(CellState& state, const EntryRow& row, CellActions& actions)
@@ -289,7 +304,7 @@
     CallId id = row.call.id;
     std::optional<JobState> known = lookUpJob(state, row.jobId);
     if (known) {
-        reply(state, id, makeState(*known), actions);
+        showState(state, row, *known, "this instance", actions);
         return;
     }
     if (!mayAskOwner(state, now.steady)) {
@@ -305,7 +320,7 @@
         if (!entry)
             return;
         if (answer && answer->has_job_answer() && answer->job_answer().known())
-            reply(s, id, makeState(static_cast<JobState>(answer->job_answer().state())), out);
+            showState(s, *entry, static_cast<JobState>(answer->job_answer().state()), "the owner", out);
         else
             lookUpInStore(s, *entry, out);
     };
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -285,14 +285,29 @@
         setPhase(state, member, TaskPhase::Done, now);
 }
 
+/// The failed runs of the task, or of its gang.
+static std::set<int>& failedRunsOf(CellState& state, const JobRow& job, const TaskKey& key)
+{
+    return specOf(job, key).gang ? findStep(state, key)->failedRuns : findTask(state, key)->failedRuns;
+}
+
 /// Counts a failed run; repeated reports count once. Returns true if the task, or
 /// its gang, has used up its attempts.
 static bool countFailure(CellState& state, JobRow& job, const TaskKey& key, int run)
 {
-    const StepSpec& spec = specOf(job, key);
-    std::set<int>& failedRuns = spec.gang ? findStep(state, key)->failedRuns : findTask(state, key)->failedRuns;
+    std::set<int>& failedRuns = failedRunsOf(state, job, key);
     failedRuns.insert(run);
-    return !spec.isLongRunning && static_cast<int>(failedRuns.size()) >= attemptsOf(state, job);
+    return !specOf(job, key).isLongRunning && static_cast<int>(failedRuns.size()) >= attemptsOf(state, job);
+}
+
+/// Says by which failed runs, attempts and configuration the job fails.
+static std::string describeUsedUpAttempts(CellState& state, const JobRow& job, const TaskKey& key)
+{
+    std::string runs;
+    for (int run : failedRunsOf(state, job, key))
+        runs += " " + std::to_string(run);
+    std::string configuration = state.configuration.value ? "configuration version " + std::to_string(state.configuration.value->version) : "no configuration";
+    return formatTaskKey(key) + " has used up its " + std::to_string(attemptsOf(state, job)) + " attempts, failed runs:" + runs + ", " + configuration;
 }
 
 /// True if the report is about the current run of the task, or a later one.
@@ -335,7 +350,7 @@
         setPhase(state, end.task, TaskPhase::Waiting, now.steady);
     }
     if (isUsedUp)
-        endJob(state, *job, JobState::Failed, formatTaskKey(end.task) + " has used up its route's attempts", now, actions);
+        endJob(state, *job, JobState::Failed, describeUsedUpAttempts(state, *job, end.task), now, actions);
 }
 
 void handleCrashedRun(CellState& state, const TaskKey& key, int run, bool isSudden, const std::string& upstream, const Instant& now, CellActions& actions)
