Show the end of a job only once it is stored

Cause: lookUpJob() told an end that only the owner and its upstream knew, if the store was out of reach. Both may fail before the end is stored.

Change: an end is told when it is stored, to callers and to other instances alike. The rule that asked whether the upstreams still answer is gone.

Evidence: before the change JobIsShownAsCompletedBeforeItsEndIsStored and CompletedJobRunsAgainAfterAnOutageInWhichItsUpstreamCrashes fail; with it they pass. Tests replaced: JobIsShownAsCompletedThoughItsUpstreamLeaves asked for "completed" while the store is away and the upstream is sound, and RunsGoOnWhileTheStoreIsDown did so too. That is the fault. The new tests ask for "running" in these and in all cases that were tested before, for "completed" when the store is back, and for no second start.

--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -205,24 +205,14 @@
 
 // Lookups.
 
-/// True if a successor would find the unstored ends of the job: their upstreams answer, and are not about to leave.
-static bool areEndsHeld(const CellState& state, const JobRow& job)
-{
-    return std::all_of(job.endsHeldBy.begin(), job.endsHeldBy.end(), [&state](const std::string& id) {
-        auto it = state.upstreams.find(id);
-        return it != state.upstreams.end() && it->second.failedPolls == 0 && !it->second.entry.draining && !it->second.isReplaced;
-    });
-}
-
 std::optional<JobState> lookUpJob(const CellState& state, const std::string& id)
 {
     auto job = state.jobs.find(id);
     if (job != state.jobs.end()) {
-        // An unstored end is lost if this instance and the upstream fail together, so it is not reported yet, unless
-        // the store is unreachable and the upstream stays: callers would then wait too long.
+        // An end that isn't stored is lost if this instance and the upstream that lists it fail together, and the job
+        // runs again. The end of a cancelled job follows from its cancellation, which is stored.
         bool isUnstored = job->second.ended && job->second.ended != JobState::Cancelled;
-        bool mayBeLost = isUnstored && (isStoreReachable(state) || !areEndsHeld(state, job->second));
-        return mayBeLost ? JobState::Running : stateOf(job->second);
+        return isUnstored ? JobState::Running : stateOf(job->second);
     }
     auto ended = state.finished.find(id);
     if (ended != state.finished.end())
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -388,7 +388,10 @@
     emulator.runFor(std::chrono::seconds(1));
     emulator.setStoreDown(true);
     emulator.runFor(std::chrono::milliseconds(4500));
-    BOOST_CHECK(isIn(1, JobState::Completed, owner()));
+    // The runs have ended, but callers are told so only when that is stored.
+    auto isDone = [](const RunRecord& run) { return run.how == RunEnd::Done; };
+    BOOST_CHECK_EQUAL(std::count_if(emulator.history().begin(), emulator.history().end(), isDone), 4);
+    BOOST_CHECK(isIn(1, JobState::Running, owner()));
     emulator.submit(jobId(2), makeJob(makeScript(100), { makeStep(1, 1000) }), other());
     emulator.runFor(std::chrono::seconds(1));
     BOOST_CHECK(emulator.jobs().at(jobId(2)).submitted == EntryOutcome::Refused);
@@ -425,11 +428,10 @@
     }
 }
 
-/// Runs a job to its end while the store is away, and returns what its owner shows then.
-static std::optional<JobState> showWithoutStore(CellFixture& fixture, bool isDraining, bool isCut)
+/// Runs a job to its end while the store is away.
+static void endWithoutStore(CellFixture& fixture, bool isDraining, bool isCut)
 {
     CellEmulator& emulator = fixture.emulator;
-    std::size_t owner = fixture.owner();
     emulator.submit(jobId(1), makeJob(makeScript(1500), { makeStep(1, 1000) }), fixture.other());
     emulator.runFor(std::chrono::milliseconds(500));
     std::string upstream = emulator.history().at(0).upstream;
@@ -439,18 +441,39 @@
     emulator.runFor(std::chrono::milliseconds(1500));
     emulator.cutUpstream(upstream, isCut);
     emulator.runFor(std::chrono::milliseconds(1500));
-    return lookUpJob(emulator.core(owner), jobId(1));
 }
 
-// An end that only the owner and a leaving upstream knew was shown, and the job ran again after both had gone.
-BOOST_AUTO_TEST_CASE(JobIsShownAsCompletedThoughItsUpstreamLeaves)
+// An end that only the owner and its upstream knew was shown, and the job ran again after both had gone.
+BOOST_AUTO_TEST_CASE(JobIsShownAsCompletedBeforeItsEndIsStored)
 {
-    CellFixture sound;
-    BOOST_CHECK(showWithoutStore(sound, false, false) == JobState::Completed);
-    CellFixture draining;
-    BOOST_CHECK(showWithoutStore(draining, true, false) == JobState::Running);
-    CellFixture cut;
-    BOOST_CHECK(showWithoutStore(cut, false, true) == JobState::Running);
+    for (bool isDraining : { false, true }) {
+        for (bool isCut : { false, true }) {
+            CellFixture fixture;
+            std::size_t owner = fixture.owner();
+            endWithoutStore(fixture, isDraining, isCut);
+            BOOST_CHECK(fixture.isIn(1, JobState::Running, owner));
+            BOOST_CHECK(!fixture.isIn(1, JobState::Completed, (owner + 1) % 3));
+            fixture.emulator.setStoreDown(false);
+            BOOST_CHECK(fixture.waitFor(1, JobState::Completed, std::chrono::seconds(3), owner));
+            BOOST_CHECK_EQUAL(fixture.startsOf(1), 1);
+        }
+    }
+}
+
+// The same, with what follows: callers were shown the end, and the next owner started the job again.
+BOOST_AUTO_TEST_CASE(CompletedJobRunsAgainAfterAnOutageInWhichItsUpstreamCrashes)
+{
+    CellFixture fixture;
+    CellEmulator& emulator = fixture.emulator;
+    std::size_t former = fixture.owner();
+    endWithoutStore(fixture, false, false);
+    bool wasShown = fixture.isIn(1, JobState::Completed, former) || fixture.isIn(1, JobState::Completed, (former + 1) % 3);
+    emulator.crashUpstream(emulator.history().at(0).upstream);
+    emulator.kill(former);
+    emulator.setStoreDown(false);
+    BOOST_CHECK(fixture.waitFor(1, JobState::Completed, std::chrono::seconds(25), fixture.owner()));
+    BOOST_CHECK_EQUAL(fixture.startsOf(1), 2);
+    BOOST_CHECK_MESSAGE(!wasShown, "the job was shown as completed and ran again");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
