Keep the attempts that a job was accepted with, and acquire no cell without a configuration

Cause: attemptsOf() took one attempt for granted if the owner's configuration named no route for the job. An owner that had just started had no configuration at all, as one answer of the store was lost; a removed queue did the same.

Change: the job's record holds the attempts of its acceptance. For records without them the route counts, and while it is unknown no failed run ends the job. An instance without a configuration leaves the cell to those that have one.

LargerInstanceLeavesCellToOverloadedOwner sets a configuration now, since its instance would not acquire without one; its checks are the same.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -339,6 +339,7 @@
     std::string jobId;
     std::string route;
     std::string team;
+    int attempts { 0 }; ///< Of the route.
     std::string record; ///< The encoded job record of the latest store attempt.
     StoreRevision epochRevision { 0 }; ///< Epoch that the write requires; 0: any, and no owner is notified.
     bool isEpochStale { false }; ///< The owner changed; the new one finds the job by its watch.
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -188,7 +188,7 @@
 {
     ++row.tries;
     row.isStoring = true;
-    JobRecord record { row.jobId, row.route, row.team, now.wallMs, *row.call.spec };
+    JobRecord record { row.jobId, row.route, row.team, now.wallMs, *row.call.spec, row.attempts };
     StoreChange command;
     command.conditions = { { jobKey(row.jobId), 0 }, { endedKey(row.jobId), 0 } };
     // The epoch condition keeps a notice from reaching a replaced owner that does not know of its
@@ -402,6 +402,7 @@
         return makeReply(EntryOutcome::Unauthorized, "the key belongs to no team");
     row.route = route->name;
     row.team = team ? team->name : std::string();
+    row.attempts = route->attempts;
     row.jobId = row.call.path.substr(route->prefix.size());
     bool isQueue = row.jobId.empty() && row.call.verb == Verb::Lookup;
     if (!isQueue && !isJobId(row.jobId))
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -61,8 +61,9 @@
     std::string team;
     std::int64_t acceptedMs { 0 }; ///< Unix time.
     JobSpec spec;
+    int attempts { 0 }; ///< Failed runs of a task after which the job fails; 0: those of its route.
 
-    auto tie() const { return std::tie(id, route, team, acceptedMs, spec); }
+    auto tie() const { return std::tie(id, route, team, acceptedMs, spec, attempts); }
 };
 
 /// Runs of a task whose upstream crashed, by number.
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -13,7 +13,6 @@
 
 /// Backoff after a failed run; an immediate retry would likely hit the same fault.
 static constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(50);
-static constexpr int kDefaultAttempts = 1;
 /// Crashes under a task after which its job fails. Upstreams that crash right after its start tell most: others may
 /// crash for any reason, and take all tasks that run on them along.
 static constexpr std::size_t kMaxSuddenCrashes = 2;
@@ -240,10 +239,14 @@
         endJob(state, job, JobState::Completed, "all tasks are done", now, actions);
 }
 
-static int attemptsOf(const CellState& state, const JobRow& job)
+/// The attempts that the job was accepted with. Records of earlier versions do not hold them, so that the route's count;
+/// nothing while the route is not known.
+static std::optional<int> attemptsOf(const CellState& state, const JobRow& job)
 {
+    if (job.record.attempts > 0)
+        return job.record.attempts;
     const Route* route = state.configuration.value ? findRouteByName(*state.configuration.value, job.record.route) : nullptr;
-    return route ? route->attempts : kDefaultAttempts;
+    return route ? std::optional<int>(route->attempts) : std::nullopt;
 }
 
 void applyProgressEntry(CellState& state, const StoreEntry& entry, const Instant& now, CellActions& actions)
@@ -297,7 +300,8 @@
 {
     std::set<int>& failedRuns = failedRunsOf(state, job, key);
     failedRuns.insert(run);
-    return !specOf(job, key).isLongRunning && static_cast<int>(failedRuns.size()) >= attemptsOf(state, job);
+    std::optional<int> attempts = attemptsOf(state, job);
+    return attempts && !specOf(job, key).isLongRunning && static_cast<int>(failedRuns.size()) >= *attempts;
 }
 
 /// Says by which failed runs, attempts and configuration the job fails.
@@ -307,7 +311,7 @@
     for (int run : failedRunsOf(state, job, key))
         runs += " " + std::to_string(run);
     std::string configuration = state.configuration.value ? "configuration version " + std::to_string(state.configuration.value->version) : "no configuration";
-    return formatTaskKey(key) + " has used up its " + std::to_string(attemptsOf(state, job)) + " attempts, failed runs:" + runs + ", " + configuration;
+    return formatTaskKey(key) + " has used up its " + std::to_string(attemptsOf(state, job).value_or(0)) + " attempts, failed runs:" + runs + ", " + configuration;
 }
 
 /// True if the report is about the current run of the task, or a later one.
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -417,7 +417,9 @@
     }
     bool isListFresh = isCurrent(membership.listing, kMaxListAge, now.steady);
     bool isVacant = membership.ownerAddress.empty() || membership.isOwnerRestarted;
-    bool mayAcquire = ownership.phase == OwnerPhase::None && membership.registered && isListFresh && (isVacant || isOwnerTooSmall(state));
+    // Without a configuration an owner can start nothing, and decide little else. Instances that have one go first.
+    bool isAble = membership.registered && state.configuration.value;
+    bool mayAcquire = ownership.phase == OwnerPhase::None && isAble && isListFresh && (isVacant || isOwnerTooSmall(state));
     if (mayAcquire && !state.stopping && now.steady >= ownership.nextAttempt && !yieldsToLargerInstance(state, now.steady))
         acquire(state, now.steady, actions);
 }
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -68,6 +68,7 @@
     out.set_occurrences(job.spec.occurrences);
     out.set_first_due_ms(job.spec.firstDueMs);
     out.set_interval_ms(job.spec.intervalMs);
+    out.set_attempts(job.attempts);
     return out.SerializeAsString();
 }
 
@@ -87,6 +88,7 @@
     job.spec.occurrences = in.occurrences();
     job.spec.firstDueMs = in.first_due_ms();
     job.spec.intervalMs = in.interval_ms();
+    job.attempts = in.attempts();
     return job;
 }
 
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -325,6 +325,7 @@
 {
     StoreCallsFixture larger("i1", 500);
     larger.state.membership.registered = true;
+    larger.state.configuration.value = std::make_shared<const FleetPolicy>();
     OwnerRecord owner { "i0", "i0", "i0-1", 4, 0 };
     std::vector<StoreEntry> listing { { kEpochKey, "4", 20 }, { kOwnerKey, encodeOwner(owner), 20 } };
     listing.push_back({ kInstancePrefix + std::string("i0"), encodeInstance({ "i0", "i0-1", 120 }), 10 });
