Play faults against real processes of the platform's daemon

The seed of the soak: five daemons with stand-ins for store and workers on loopback. The store goes away, with leases that pause or run out; workers crash meanwhile; the owner is killed, twice in quick succession while a third of the store's changes are not answered. It checks TWICE, LOST and BUDGET by what callers and workers saw, and that no process ends by itself. The workers, the store and the daemon's start are the stand-ins of review/, unchanged; StoreGate takes the store away.

--- /dev/null
+++ b/tests/soak/SoakCell.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "review/standin/Cell.h"
+#include "tests/soak/SoakChecks.h"
+#include "tests/soak/StoreGate.h"
+
+namespace crocuslever::soak {
+
+/// Entry instances as real processes, with stand-ins for the store and the workers on loopback.
+class SoakCell {
+public:
+    /// `program`: the daemon; `folder`: for settings, logs and the record of what happened. Changes the working folder to it.
+    SoakCell(const std::filesystem::path& program, const std::filesystem::path& folder, std::uint64_t seed);
+    ~SoakCell();
+    SoakCell(const SoakCell&) = delete;
+    SoakCell& operator=(const SoakCell&) = delete;
+
+    bool awaitReady();
+    standin::HttpAnswer call(const std::string& method, const std::string& path, const std::string& body, std::size_t instance);
+
+    // Faults.
+    StoreGate& gate() { return m_gate; }
+    /// Kills the owner's process and starts it again; false: there is no owner.
+    bool restartOwner();
+    void crashWorkers(std::size_t count);
+    void reviveWorkers();
+
+    std::size_t instanceCount() const { return m_instances.size(); }
+    std::vector<standin::RunNote> runs() { return m_runs.runsOf(""); }
+    const CrashTimes& crashes() const { return m_crashes; }
+    /// Instances that ended by themselves.
+    int endedInstances();
+    void note(const std::string& line) { m_record.write(line); }
+
+private:
+    std::mt19937_64 m_random;
+    standin::Record m_record;
+    standin::RunLog m_runs;
+    std::string m_storeAddress;
+    std::string m_gateAddress;
+    standin::Store m_store;
+    StoreGate m_gate;
+    std::vector<std::unique_ptr<standin::Worker>> m_workers;
+    std::vector<std::unique_ptr<standin::Instance>> m_instances;
+    std::vector<std::size_t> m_crashed; ///< Workers that are down.
+    CrashTimes m_crashes;
+};
+
+} // namespace crocuslever::soak
