Wait for the orders of all earlier owners, not of the previous one only

Cause: a third owner took it that nobody else gives orders if the previous owner had restarted or was unknown.

Change: the bound counts from when the previous owner was first seen, unless its record says that owners before it have stopped; an owner that is unknown, or was not listed between, counts as alive. Both places that set the bound use one function. The two writes of the owner key became one.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -250,10 +250,14 @@
     StoreRevision epochRevision { 0 }; ///< Revision of the epoch key; a condition of each write of the owner.
     TimePoint since; ///< When the cell was acquired.
     TimePoint nextAttempt; ///< Earliest time of the next attempt to acquire the cell.
-    bool restoringOwnerKey { false }; ///< The owner key is being written again under a new lease.
+    bool isWritingOwnerKey { false }; ///< The owner key is being written again.
+    TimePoint nextOwnerKey; ///< Earliest time of the next such write.
+    bool isSettled { false }; ///< The owner key says that owners before this one send no orders any more.
     std::string predecessor; ///< Name of the previous owner; empty: unknown.
     std::string predecessorIncarnation;
     TimePoint predecessorSince; ///< When this instance first saw the previous owner's token.
+    bool isPredecessorSettled { false }; ///< Owners before the previous one send no orders any more.
+    bool isPredecessorKnown { false }; ///< It is the owner whose token precedes this one's.
     bool isPredecessorGone { false }; ///< The previous owner's process has ended, so that it sends no more orders.
     TimePoint earlierRunsEnd; ///< Leases of all runs started by earlier owners have expired by then.
     int readsLeft { 0 }; ///< Outstanding reads of the recovery.
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -26,6 +26,7 @@
 static constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
 /// Instances notify the owner of what they store, so the watch only has to cover lost notices.
 static constexpr Duration kWatchPause = std::chrono::milliseconds(150);
+static constexpr Duration kOwnerKeyInterval = std::chrono::milliseconds(500); ///< Between writes of the owner key.
 static constexpr Duration kNoticeLifetime = std::chrono::seconds(10);
 static constexpr int kRecoveryReads = 3; ///< Known upstreams, queue and progress.
 
@@ -73,7 +74,9 @@
     ownership.token = token;
     ownership.epochRevision = epochRevision;
     ownership.since = now.steady;
+    ownership.isSettled = false;
     Membership& membership = state.membership;
+    ownership.isPredecessorKnown = !ownership.predecessor.empty() && membership.ownerToken == token - 1;
     membership.ownerInstance = state.settings.instance;
     membership.ownerAddress = state.settings.address;
     membership.ownerToken = token;
@@ -119,6 +122,7 @@
         }
         ownership.predecessor = owner.instance;
         ownership.predecessorIncarnation = owner.incarnation;
+        ownership.isPredecessorSettled = owner.isSettled;
         membership.ownerToken = owner.token;
     }
     membership.ownerInstance = owner.instance;
@@ -178,9 +182,9 @@
     return areListed && membership.listedAt - since >= kTakeoverDelay && isSmaller;
 }
 
-static StorePut makeOwnerPut(const CellState& state, std::int64_t token)
+static StorePut makeOwnerPut(const CellState& state, std::int64_t token, bool isSettled)
 {
-    OwnerRecord record { state.settings.instance, state.settings.address, state.settings.incarnation, token, 0 };
+    OwnerRecord record { state.settings.instance, state.settings.address, state.settings.incarnation, token, 0, isSettled };
     return { kOwnerKey, encodeOwner(record), state.membership.lease };
 }
 
@@ -191,7 +195,7 @@
     std::int64_t token = membership.epoch + 1;
     StoreChange command;
     command.conditions = { { kEpochKey, membership.epochRevision }, { kOwnerKey, membership.ownerRevision } };
-    command.puts = { { kEpochKey, std::to_string(token), 0 }, { kQueueEpochKey, std::to_string(token), 0 }, { kLargestInstanceKey, encodeProcessorShare(largestShare(state, now)), 0 }, makeOwnerPut(state, token) };
+    command.puts = { { kEpochKey, std::to_string(token), 0 }, { kQueueEpochKey, std::to_string(token), 0 }, { kLargestInstanceKey, encodeProcessorShare(largestShare(state, now)), 0 }, makeOwnerPut(state, token, false) };
     auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
         if (s.ownership.phase != OwnerPhase::Acquiring)
             return;
@@ -283,13 +287,30 @@
     listKeys(state, kQueuePrefix, then, actions);
 }
 
+/// True if the previous owner's process has ended.
+static bool hasPredecessorEnded(const CellState& state)
+{
+    const Ownership& ownership = state.ownership;
+    return ownership.isPredecessorKnown && isRestarted(state, ownership.predecessor, ownership.predecessorIncarnation);
+}
+
+/// No owner before this one sends orders later than this. A previous owner that has ended sends none, but those before it
+/// may be alive and cut off from the store: they go on for ownerLeaseTimeout after it acquired the cell.
+static TimePoint earlierOrdersEnd(const CellState& state, TimePoint now)
+{
+    const Ownership& ownership = state.ownership;
+    Duration timeout = state.settings.ownerLeaseTimeout;
+    if (!ownership.isPredecessorGone)
+        return now + timeout;
+    return ownership.isPredecessorSettled ? now : std::max(now, ownership.predecessorSince + timeout);
+}
+
 static void beginRecovery(CellState& state, const Instant& now, CellActions& actions)
 {
     Ownership& ownership = state.ownership;
     ownership.readsLeft = kRecoveryReads;
-    ownership.isPredecessorGone = ownership.predecessor.empty() || isRestarted(state, ownership.predecessor, ownership.predecessorIncarnation);
-    Duration ordersEnd = ownership.isPredecessorGone ? Duration(0) : state.settings.ownerLeaseTimeout;
-    ownership.earlierRunsEnd = leaseEndAfter(now.steady, ordersEnd + state.settings.runLease);
+    ownership.isPredecessorGone = hasPredecessorEnded(state);
+    ownership.earlierRunsEnd = leaseEndAfter(earlierOrdersEnd(state, now.steady), state.settings.runLease);
     readForRecovery(state, kUpstreamsKey, applyKnownUpstreams, actions);
     readQueueForRecovery(state, actions);
 }
@@ -366,44 +387,62 @@
     ownership.watch = awaitChanges(state, kQueuePrefix, ownership.queuePosition.revision, kWatchWait, then, actions);
 }
 
-/// Writes the owner key under the new lease after the old one expired, unless another instance has
-/// acquired the cell.
-static void restoreOwnerKey(CellState& state, CellActions& actions)
+/// True if owners before this one send no orders any more.
+static bool isSettled(const CellState& state, TimePoint now)
+{
+    return now >= state.ownership.since + state.settings.ownerLeaseTimeout;
+}
+
+static bool isOwnerKeyMissing(const CellState& state)
+{
+    return state.membership.ownerInstance != state.settings.instance;
+}
+
+/// Writes the owner key unless another instance has acquired the cell.
+static void writeOwnerKey(CellState& state, const Instant& now, CellActions& actions)
 {
     Ownership& ownership = state.ownership;
-    ownership.restoringOwnerKey = true;
+    ownership.isWritingOwnerKey = true;
+    ownership.nextOwnerKey = now.steady + kOwnerKeyInterval;
     StoreChange command;
-    command.conditions = { { kEpochKey, ownership.epochRevision }, { kOwnerKey, 0 } };
-    command.puts = { makeOwnerPut(state, ownership.token) };
+    command.conditions = { { kEpochKey, ownership.epochRevision } };
+    bool settled = isSettled(state, now.steady);
+    command.puts = { makeOwnerPut(state, ownership.token, settled) };
     std::int64_t token = ownership.token;
-    auto then = [token](CellState& s, const StoreReply& reply, const Instant&, CellActions& out) {
+    auto then = [token, settled](CellState& s, const StoreReply& reply, const Instant&, CellActions& out) {
         if (!isOwner(s) || s.ownership.token != token)
             return;
-        s.ownership.restoringOwnerKey = false;
-        if (reply.status == StoreStatus::Ok)
-            logMessage(out, LogLevel::Info, "ownership", "", "", "restored the owner key with token " + std::to_string(token));
+        s.ownership.isWritingOwnerKey = false;
+        if (reply.status != StoreStatus::Ok)
+            return;
+        s.ownership.isSettled = settled;
+        logMessage(out, LogLevel::Info, "ownership", "", "", "wrote the owner key again with token " + std::to_string(token) + (settled ? "; earlier owners send no orders any more" : ""));
     };
     sendChange(state, std::move(command), then, actions);
 }
 
-/// Waits no longer for the lease of a previous owner that turns out to have restarted. Owners before it may
-/// have sent orders for ownerLeaseTimeout after it acquired the cell.
+/// The owner key is written under a new lease after the old one has expired, and once when earlier owners have to
+/// have stopped.
+static void keepOwnerKey(CellState& state, const Instant& now, CellActions& actions)
+{
+    const Ownership& ownership = state.ownership;
+    bool isDue = isOwnerKeyMissing(state) || (!ownership.isSettled && isSettled(state, now.steady));
+    bool isAble = state.membership.registered && !ownership.isWritingOwnerKey && now.steady >= ownership.nextOwnerKey;
+    if (isDue && isAble)
+        writeOwnerKey(state, now, actions);
+}
+
+/// Waits no longer for the lease of a previous owner that turns out to have restarted.
 static void checkPredecessor(CellState& state, const Instant& now, CellActions& actions)
 {
     Ownership& ownership = state.ownership;
-    if (ownership.isPredecessorGone || ownership.areEarlierRunsKnown || !isRestarted(state, ownership.predecessor, ownership.predecessorIncarnation))
+    if (ownership.isPredecessorGone || ownership.areEarlierRunsKnown || !hasPredecessorEnded(state))
         return;
     ownership.isPredecessorGone = true;
-    TimePoint ordersEnd = std::max(now.steady, ownership.predecessorSince + state.settings.ownerLeaseTimeout);
-    ownership.earlierRunsEnd = std::min(ownership.earlierRunsEnd, leaseEndAfter(ordersEnd, state.settings.runLease));
+    ownership.earlierRunsEnd = std::min(ownership.earlierRunsEnd, leaseEndAfter(earlierOrdersEnd(state, now.steady), state.settings.runLease));
     logMessage(actions, LogLevel::Info, "ownership", ownership.predecessor, "", "the previous owner has restarted; leases of earlier runs expire within " + std::to_string(toMilliseconds(ownership.earlierRunsEnd - now.steady)) + " ms");
 }
 
-static bool isOwnerKeyMissing(const CellState& state)
-{
-    return state.membership.ownerInstance != state.settings.instance;
-}
-
 void tickOwnership(CellState& state, const Instant& now, CellActions& actions)
 {
     Ownership& ownership = state.ownership;
@@ -411,8 +450,7 @@
     if (isOwner(state)) {
         watchQueue(state, now, actions);
         checkPredecessor(state, now, actions);
-        if (isOwnerKeyMissing(state) && membership.registered && !ownership.restoringOwnerKey)
-            restoreOwnerKey(state, actions);
+        keepOwnerKey(state, now, actions);
         return;
     }
     bool isListFresh = isCurrent(membership.listing, kMaxListAge, now.steady);
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -134,6 +134,7 @@
     out.set_address(owner.address);
     out.set_incarnation(owner.incarnation);
     out.set_token(owner.token);
+    out.set_is_settled(owner.isSettled);
     return out.SerializeAsString();
 }
 
@@ -142,7 +143,7 @@
     wire::Owner in;
     if (!in.ParseFromString(bytes))
         return std::nullopt;
-    return OwnerRecord { in.instance(), in.address(), in.incarnation(), in.token(), 0 };
+    return OwnerRecord { in.instance(), in.address(), in.incarnation(), in.token(), 0, in.is_settled() };
 }
 
 std::string encodeProcessorShare(std::int64_t milliCpu) { return std::to_string(milliCpu) + kMilliSuffix; }
--- a/src/cell/RecordCodec.h
+++ b/src/cell/RecordCodec.h
@@ -25,6 +25,7 @@
     std::string incarnation;
     std::int64_t token { 0 };
     StoreRevision revision { 0 }; ///< Store revision of the record; not encoded.
+    bool isSettled { false }; ///< Owners before this one send no orders any more.
 };
 
 std::string encodeOwner(const OwnerRecord&);
