--- a/tests/CellLoadTest.cpp
+++ b/tests/CellLoadTest.cpp
@@ -12,6 +12,15 @@
 
 BOOST_AUTO_TEST_SUITE(CellLoadTest)
 
+/// A cell in which upstreams are no bottleneck.
+static EmulatorSettings makeLargeCell()
+{
+    EmulatorSettings settings;
+    settings.upstreams = 40;
+    settings.capacity = { 64000, 256000, 0, 0 };
+    return settings;
+}
+
 static std::int64_t countUnstoredJobs(const CellState& core)
 {
     return std::count_if(core.jobs.begin(), core.jobs.end(), [](const auto& item) { return item.second.ended.has_value(); });
@@ -22,9 +31,7 @@
 {
     constexpr int kJobsPerSecond = 100;
     constexpr int kSeconds = 5;
-    EmulatorSettings settings;
-    settings.upstreams = 40;
-    settings.capacity = { 64000, 256000, 0, 0 };
+    EmulatorSettings settings = makeLargeCell();
     settings.storeDelay = std::chrono::milliseconds(150);
     CellFixture fixture(settings);
     CellEmulator& emulator = fixture.emulator;
@@ -48,9 +55,7 @@
 {
     constexpr int kJobsPerSecond = 200;
     constexpr int kSeconds = 5;
-    EmulatorSettings settings;
-    settings.upstreams = 40;
-    settings.capacity = { 64000, 256000, 0, 0 };
+    EmulatorSettings settings = makeLargeCell();
     settings.storeDelay = std::chrono::milliseconds(300);
     CellFixture fixture(settings);
     CellEmulator& emulator = fixture.emulator;
@@ -68,10 +73,7 @@
 {
     constexpr int kJobsPerSecond = 200;
     constexpr int kMostCommitsPerSecond = 60;
-    EmulatorSettings settings;
-    settings.upstreams = 40;
-    settings.capacity = { 64000, 256000, 0, 0 };
-    CellFixture fixture(settings);
+    CellFixture fixture(makeLargeCell());
     CellEmulator& emulator = fixture.emulator;
     std::size_t owner = fixture.owner();
     std::int64_t before = emulator.core(owner).counters.get("commits_total");
@@ -88,9 +90,7 @@
 // While some changes waited to be stored, no end of any job was acknowledged.
 BOOST_AUTO_TEST_CASE(EndsStayUnacknowledgedWhileOthersAreStored)
 {
-    EmulatorSettings settings;
-    settings.upstreams = 40;
-    settings.capacity = { 64000, 256000, 0, 0 };
+    EmulatorSettings settings = makeLargeCell();
     settings.storeDelay = std::chrono::milliseconds(150);
     CellFixture fixture(settings);
     CellEmulator& emulator = fixture.emulator;
