--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -421,8 +421,8 @@
     sendChange(state, std::move(command), then, actions);
 }
 
-/// The owner key is written under a new lease after the old one has expired, and once when earlier owners have to
-/// have stopped.
+/// Writes the owner key under a new lease after the old one has expired, and once more when no earlier owner can send
+/// orders any longer.
 static void keepOwnerKey(CellState& state, const Instant& now, CellActions& actions)
 {
     const Ownership& ownership = state.ownership;
--- a/tests/soak/PlatformSoak.cpp
+++ b/tests/soak/PlatformSoak.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr int kAttempts = 4;
 constexpr std::int64_t kSubmitIntervalMs = 40;
 constexpr std::int64_t kLookupIntervalMs = 400;
 constexpr std::int64_t kSettlingMs = 2000;
@@ -44,7 +43,7 @@
     std::string failures = std::to_string(random() % 4 == 0 ? random() % kAttempts : 0);
     standin::Json step { { "count", 1 + random() % 3 }, { "cpu", 1000 }, { "mem-mb", 256 }, { "estimate-ms", 1000 } };
     standin::Json body { { "spec", work + " " + failures }, { "steps", { step } } };
-    int status = cell.call("POST", "/plan/" + job.id, body.dump(), random()).status;
+    int status = cell.call("POST", kQueuePath + job.id, body.dump(), random()).status;
     job.isAccepted = status >= 200 && status < 300;
     client.jobs.push_back(job);
 }
@@ -53,7 +52,7 @@
 
 static void lookUp(SoakCell& cell, JobNote& job, std::mt19937_64& random)
 {
-    standin::HttpAnswer answer = cell.call("GET", "/plan/" + job.id, "", random());
+    standin::HttpAnswer answer = cell.call("GET", kQueuePath + job.id, "", random());
     standin::Json body = standin::Json::parse(answer.body, nullptr, false);
     if (answer.status != 200 || !body.is_object())
         return;
--- a/tests/soak/SoakCell.cpp
+++ b/tests/soak/SoakCell.cpp
@@ -9,7 +9,6 @@
 static constexpr int kDomains = 3;
 static constexpr int kCallTimeoutMs = 1500;
 static constexpr int kConfigurationVersion = 7;
-static constexpr int kAttempts = 4;
 static constexpr std::int64_t kReadyWithinMs = 20000;
 static constexpr std::int64_t kRestartDelayMs = 300;
 
@@ -42,11 +41,11 @@
         m_instances.push_back(std::make_unique<standin::Instance>("edge-" + std::to_string(n), domains[n % kDomains], std::filesystem::current_path().string()));
         seeds += (n > 0 ? ",\"" : "\"") + m_instances.back()->peers() + "\"";
     }
-    for (const auto& it : m_instances) {
+    for (const std::unique_ptr<standin::Instance>& it : m_instances) {
         it->writeSettings(m_gateAddress, seeds);
         it->start();
     }
-    standin::Queue queue { "plan", "/plan/", kAttempts };
+    standin::Queue queue { "plan", kQueuePath, kAttempts };
     m_store.put("op/config", standin::makeConfiguration(kConfigurationVersion, { queue }));
 }
 
--- a/tests/soak/SoakCell.h
+++ b/tests/soak/SoakCell.h
@@ -14,6 +14,9 @@
 
 namespace crocuslever::soak {
 
+constexpr const char* kQueuePath = "/plan/"; ///< Of the only queue.
+constexpr int kAttempts = 4; ///< Of that queue.
+
 /// Entry instances as real processes, with stand-ins for the store and the workers on loopback.
 class SoakCell {
 public:
