Let old long-running tasks take their turn, but no room from others

Cause, suspected: since a long-running task of any age preempts and reserves, as only young ones did.

Change: its turn is that of work in time; whether it may take room goes by its objective again.

--- a/src/cell/Candidate.cpp
+++ b/src/cell/Candidate.cpp
@@ -18,10 +18,10 @@
 const StepSpec& specOf(const Candidate& candidate) { return specOf(*candidate.job, candidate.step); }
 
 /// Late jobs go last: in a full cell they would otherwise make every job behind
-/// them late as well. A long-running task is of use whenever it runs, and an occurrence has a due time of its own.
-static Timeliness classifyTimeliness(const JobRow& job, const StepSpec& step, const Route& route, std::int64_t wallMs)
+/// them late as well.
+static Timeliness classifyTimeliness(const JobRow& job, const Route& route, std::int64_t wallMs)
 {
-    if (step.isLongRunning || job.record.spec.occurrences > 0)
+    if (job.record.spec.occurrences > 0)
         return Timeliness::InTime;
     double criticalPathMs = static_cast<double>(toMilliseconds(job.estimatedCriticalPath));
     double objectiveMs = route.stretch * criticalPathMs + static_cast<double>(toMilliseconds(route.targetDuration));
@@ -36,6 +36,8 @@
     const Route* route = findRouteByName(*state.configuration.value, job.record.route);
     if (!route || job.ended || mayHaveUnknownRun(state, job))
         return;
+    Timeliness timeliness = classifyTimeliness(job, *route, now.wallMs);
+    bool mayPreempt = timeliness == Timeliness::InTime;
     for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
         std::vector<StepRow>& steps = job.occurrences[k].steps;
         for (std::size_t s = 0; s < steps.size(); ++s) {
@@ -43,8 +45,9 @@
             int step = static_cast<int>(s);
             if (steps[s].waiting == 0 || !isStepReady(state, job, occurrence, step, now.wallMs))
                 continue;
-            Timeliness timeliness = classifyTimeliness(job, job.record.spec.steps[s], *route, now.wallMs);
-            all.push_back({ &job, route, { job.record.id, occurrence, step, 0 }, timeliness, route->priority, job.record.acceptedMs });
+            // A long-running task is of use at any age, but in a full cell others need the room to be in time.
+            Timeliness turn = job.record.spec.steps[s].isLongRunning ? Timeliness::InTime : timeliness;
+            all.push_back({ &job, route, { job.record.id, occurrence, step, 0 }, turn, route->priority, job.record.acceptedMs, mayPreempt });
         }
     }
 }
--- a/src/cell/Candidate.h
+++ b/src/cell/Candidate.h
@@ -22,6 +22,7 @@
     Timeliness timeliness { Timeliness::InTime };
     int priority { 0 };
     std::int64_t acceptedMs { 0 };
+    bool mayPreempt { true }; ///< It may take room from others, now or by reservation.
 
     bool operator<(const Candidate& other) const
     {
--- a/src/cell/LargestRoom.cpp
+++ b/src/cell/LargestRoom.cpp
@@ -29,7 +29,7 @@
     Resources each = amountOf(specOf(candidate));
     if (each.fitsIn(largest.free))
         return true;
-    return candidate.timeliness == Timeliness::InTime && each.fitsIn(largestAfterPreemption(largest, open, candidate.priority));
+    return candidate.mayPreempt && each.fitsIn(largestAfterPreemption(largest, open, candidate.priority));
 }
 
 } // namespace crocuslever::cell
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -76,7 +76,7 @@
 static bool mayStartVictimSearch(const Candidate& candidate, ReservedRoom& reservations, TimePoint now)
 {
     StepRow& row = rowOf(candidate);
-    if (candidate.timeliness != Timeliness::InTime || now < row.nextPreemption || reservations.victimSearches >= kMaxVictimSearchesPerPass)
+    if (!candidate.mayPreempt || now < row.nextPreemption || reservations.victimSearches >= kMaxVictimSearchesPerPass)
         return false;
     ++reservations.victimSearches;
     row.nextPreemption = now + kPreemptionInterval;
@@ -117,7 +117,7 @@
 {
     const std::string& team = candidate.job->record.team;
     int allowed = countWithinLimit(state, team, reservedForTeam(reservations, team), amountOf(specOf(candidate)), count);
-    if (allowed < count && candidate.timeliness == Timeliness::InTime)
+    if (allowed < count && candidate.mayPreempt)
         recordLimited(rowOf(candidate), now.steady);
     if (allowed < count && mayStartVictimSearch(candidate, reservations, now.steady))
         makeRoomBelowLimit(state, reservations, makeRoomRequest(candidate, count), now, actions);
@@ -133,7 +133,7 @@
     StepRow& row = rowOf(candidate);
     if (row.limitedSince && now - row.lastLimitedAt > kLimitReserve)
         row.limitedSince.reset();
-    if (row.waiting == 0 || candidate.timeliness != Timeliness::InTime || !row.limitedSince)
+    if (row.waiting == 0 || !candidate.mayPreempt || !row.limitedSince)
         return;
     RoomRequest request = makeRoomRequest(candidate, row.waiting);
     bool isOffInterval = (now - *row.limitedSince) / kLimitReserve % 2 == 1;
@@ -229,7 +229,7 @@
 {
     for (const Candidate& candidate : candidates) {
         StepRow& row = rowOf(candidate);
-        if (candidate.timeliness != Timeliness::InTime || now >= row.reservedUntil)
+        if (!candidate.mayPreempt || now >= row.reservedUntil)
             row.reservations.clear();
         addReservations(reservations, row.reservations);
     }
@@ -272,7 +272,7 @@
         return;
     if (!pass.advisers)
         preparePassForAdvice(state, pass, now.steady);
-    AdviceNeed need { candidate.route, candidate.step, candidate.timeliness == Timeliness::InTime };
+    AdviceNeed need { candidate.route, candidate.step, candidate.mayPreempt };
     if (!askForAdvice(state, need, pass.byRoom, *pass.advisers, now, actions))
         pass.saturated.insert(candidate.priority);
 }
