--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -277,6 +277,7 @@
     bool readingDirectory { false };
     Confirmation directory; ///< Of the upstreams' directory entries.
     int directoryFailures { 0 }; ///< Consecutive readings without a usable answer.
+    bool startsWithoutStore { false }; ///< The latest placement pass relied on an outage of the store.
 };
 
 /// Relaying of store calls through a peer while the store does not serve this instance.
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -4,6 +4,7 @@
 
 #include "src/cell/Advice.h"
 #include "src/cell/Candidate.h"
+#include "src/cell/Declarations.h"
 #include "src/cell/Fit.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/LargestRoom.h"
@@ -277,6 +278,17 @@
         pass.saturated.insert(candidate.priority);
 }
 
+/// Logs the first pass, and the end of the passes, whose inputs are older than their bounds as the store is away.
+static void logOutagePasses(CellState& state, TimePoint now, CellActions& actions)
+{
+    bool isWithoutStore = !isConfigurationCurrent(state, now);
+    if (isWithoutStore == state.ownership.startsWithoutStore)
+        return;
+    state.ownership.startsWithoutStore = isWithoutStore;
+    std::string ages = "configuration last confirmed " + describeAge(state.configuration.confirmation, now) + ", ownership " + describeAge(state.membership.listing, now);
+    logMessage(actions, LogLevel::Info, "placement", "", "", std::string(isWithoutStore ? "starts tasks although the store is away from the fleet; " : "the configuration is current again; ") + ages);
+}
+
 void tickPlacement(CellState& state, const Instant& now, CellActions& actions)
 {
     bool isDue = state.placementDue ? now.steady >= state.nextPlacement : now.steady >= state.nextPlacement + kIdlePassInterval;
@@ -287,6 +299,7 @@
         state.nextPlacement = now.steady + kPassInterval;
         return;
     }
+    logOutagePasses(state, now.steady, actions);
     state.placementDue = false;
     state.counters.add("placement_passes_total");
     std::int64_t pairsBefore = state.examinedPairs;
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -119,7 +119,7 @@
 {
     if (upstream.runs.empty() || now.steady <= upstream.leasesEnd)
         return;
-    logMessage(actions, LogLevel::Warning, "upstream.lapse", upstream.entry.id, "", "the leases of " + std::to_string(upstream.runs.size()) + " runs expired; the runs count as ended");
+    logMessage(actions, LogLevel::Warning, "upstream.lapse", upstream.entry.id, "", "the leases of " + std::to_string(upstream.runs.size()) + " runs expired; the runs count as ended; ownership last confirmed " + describeAge(state.membership.listing, now.steady));
     std::vector<std::string> names;
     for (const auto& [name, run] : upstream.runs) {
         names.push_back(name);
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cell.pb.h"
+#include "src/cell/Ownership.h"
 
 namespace crocuslever::cell::testing {
 
@@ -12,6 +13,9 @@
 /// A crashed upstream stays in the directory for this long.
 static constexpr Duration kSilenceUntilUnlisted = std::chrono::milliseconds(4500);
 static constexpr const char* kDirectoryService = "service";
+static constexpr std::size_t kDomains = 3;
+
+static std::string domainName(std::size_t n) { return "domain-" + std::to_string(n % kDomains); }
 
 CellEmulator::CellEmulator(const EmulatorSettings& settings)
     : m_settings(settings)
@@ -33,8 +37,7 @@
     for (int n = 0; n < settings.upstreams; ++n) {
         std::string id = "u" + std::to_string(n);
         UpstreamSlot& slot = m_upstreams[id];
-        std::string domain = "domain-" + std::to_string(n % 3);
-        slot.entry = { id, kDirectoryService, id + ":1", domain, false, Duration(0), settings.capacity, {}, "rack-" + std::to_string(n / 2), m_queue.now().wallMs - 1000 };
+        slot.entry = { id, kDirectoryService, id + ":1", domainName(static_cast<std::size_t>(n)), false, Duration(0), settings.capacity, {}, "rack-" + std::to_string(n / 2), m_queue.now().wallMs - 1000 };
         slot.incarnation = std::make_unique<EmulatedUpstream>(id, slot.entry.bornMs, m_history, m_failures);
     }
     for (std::size_t n = 0; n < m_instances.size(); ++n)
@@ -86,6 +89,8 @@
     settings.instance = "i" + std::to_string(n);
     settings.incarnation = settings.instance + "-" + std::to_string(++slot.incarnations);
     settings.address = settings.instance;
+    slot.domain = domainName(n);
+    settings.domain = slot.domain;
     constexpr std::int64_t kLarge = 500;
     constexpr std::int64_t kSmall = 120;
     settings.milliCpu = static_cast<int>(n) < m_settings.largeInstances ? kLarge : kSmall;
@@ -127,6 +132,14 @@
     slot.isCut = true;
 }
 
+void CellEmulator::cutDomain(const std::string& domain, bool isCut)
+{
+    if (isCut)
+        m_cutDomains.insert(domain);
+    else
+        m_cutDomains.erase(domain);
+}
+
 void CellEmulator::evacuate(const std::string& domain, bool isEvacuated)
 {
     if (isEvacuated)
@@ -158,6 +171,15 @@
     return std::nullopt;
 }
 
+std::optional<std::size_t> CellEmulator::ownerOtherThan(std::size_t former) const
+{
+    for (std::size_t n = 0; n < m_instances.size(); ++n) {
+        if (n != former && m_instances[n].state && isOwner(*m_instances[n].state))
+            return n;
+    }
+    return std::nullopt;
+}
+
 std::vector<std::string> CellEmulator::upstreamIds() const
 {
     std::vector<std::string> ids;
@@ -260,7 +282,7 @@
 
 void CellEmulator::failStoreCall(const Caller& caller, Ticket ticket, StoreStatus status)
 {
-    if (m_instances[caller.instance].isStoreBlackholed)
+    if (isStoreSilent(caller.instance))
         status = StoreStatus::NoAnswer;
     StoreReply reply;
     reply.ticket = ticket;
@@ -488,7 +510,7 @@
 void CellEmulator::awaitEnd(const Caller& caller, const UpstreamPoll& call, std::int64_t bornMs, TimePoint deadline)
 {
     UpstreamSlot& slot = m_upstreams.at(call.target.id);
-    if (slot.isCut || slot.incarnation->bornMs() != bornMs) {
+    if (isOutOfReach(caller.instance, slot) || slot.incarnation->bornMs() != bornMs) {
         deliver(caller, kCallTimeout, PollResult { call.ticket, OrderOutcome::NoAnswer, 0, 0, {}, {} });
         return;
     }
@@ -512,7 +534,8 @@
     ++m_instances[caller.instance].upstreamCalls;
     UpstreamSlot& slot = m_upstreams.at(order.target.id);
     bool isLate = chance(m_settings.lateOrders);
-    if (slot.isCut || isLate) {
+    bool isCut = isOutOfReach(caller.instance, slot);
+    if (isCut || isLate) {
         deliver(caller, kCallTimeout, OrderResult { order.ticket, OrderOutcome::NoAnswer, 0 });
         // A late order waits inside the upstream and is lost if the upstream restarts.
         std::int64_t bornMs = slot.incarnation->bornMs();
@@ -521,7 +544,7 @@
             if (incarnation.bornMs() == bornMs)
                 apply(incarnation, order, now());
         };
-        if (!slot.isCut)
+        if (!isCut)
             m_queue.after(latency(2000, 8000), applyLate);
         return;
     }
@@ -562,7 +585,7 @@
     return message.ParseFromString(frame.bytes) && message.configuration_answer().has_record();
 }
 
-void CellEmulator::perform(const Caller&, const SendPeerFrame& frame)
+void CellEmulator::perform(const Caller& caller, const SendPeerFrame& frame)
 {
     if (m_keepsLastFrame)
         m_lastFrame = frame.bytes;
@@ -573,7 +596,7 @@
     Duration transferTime = isTransfer ? m_transferTime : Duration(0);
     for (std::size_t n = 0; n < m_instances.size(); ++n) {
         bool isReceiver = m_instances[n].state && m_instances[n].state->settings.address == frame.address;
-        if (isReceiver)
+        if (isReceiver && !isPathCut(domainOf(caller.instance), domainOf(n)))
             deliver({ n, m_instances[n].incarnations }, latency(1, 3) + transferTime, PeerFrame { "", frame.bytes });
     }
 }
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -84,6 +84,8 @@
     void setTransferTime(Duration time) { m_transferTime = time; }
     void setStoreDown(bool isDown) { m_storeDown = isDown; }
     void cutUpstream(const std::string& id, bool isCut) { m_upstreams.at(id).isCut = isCut; }
+    /// Cuts the instances and upstreams of a failure domain off from all others and from the store.
+    void cutDomain(const std::string& domain, bool isCut);
     void crashUpstream(const std::string& id);
     /// Adds an entry that names no upstream, at the address of one and with a later start.
     void addOddEntry(const std::string& id);
@@ -93,6 +95,9 @@
 
     // Observation.
     std::optional<std::size_t> owner() const;
+    /// An instance besides `former` that takes itself for the owner.
+    std::optional<std::size_t> ownerOtherThan(std::size_t former) const;
+    const std::string& domainOf(std::size_t instance) const { return m_instances[instance].domain; }
     const std::vector<RunRecord>& history() const { return m_history; }
     const CellState& core(std::size_t instance) const { return *m_instances[instance].state; }
     FleetPolicy& policy() { return m_declarations.policy; }
@@ -111,6 +116,7 @@
 private:
     struct InstanceSlot {
         std::unique_ptr<CellState> state; ///< Null: not running.
+        std::string domain;
         int incarnations { 0 };
         std::int64_t upstreamCalls { 0 };
         bool isCutFromStore { false };
@@ -141,7 +147,10 @@
     void dispatch(const Caller&, const CellActions&);
     Duration latency(std::int64_t leastMs, std::int64_t mostMs);
     bool chance(double share);
-    bool isStoreUnavailable(std::size_t instance) const { return m_storeDown || m_instances[instance].isCutFromStore || m_instances[instance].isStoreBlackholed; }
+    bool isStoreSilent(std::size_t instance) const { return m_instances[instance].isStoreBlackholed || m_cutDomains.count(domainOf(instance)) > 0; }
+    bool isStoreUnavailable(std::size_t instance) const { return m_storeDown || m_instances[instance].isCutFromStore || isStoreSilent(instance); }
+    bool isPathCut(const std::string& from, const std::string& to) const { return from != to && (m_cutDomains.count(from) > 0 || m_cutDomains.count(to) > 0); }
+    bool isOutOfReach(std::size_t instance, const UpstreamSlot& upstream) const { return upstream.isCut || isPathCut(domainOf(instance), upstream.entry.domain); }
     void failStoreCall(const Caller&, Ticket, StoreStatus);
 
     void perform(const Caller&, const EntryReply&);
@@ -173,6 +182,7 @@
     std::mt19937_64 m_random;
     crocuslever::testing::StoreModel m_store;
     bool m_storeDown { false };
+    std::set<std::string> m_cutDomains;
     bool m_isDirectoryUnreadable { false };
     EmulatedDeclarations m_declarations;
     bool m_areWatchesDeaf { false };
