Count leases as expired only while the store still confirms the ownership

Cause: an owner that is cut off with its domain took the leases that it could not renew for expired 5.2 s later, while its successor had adopted the runs and renewed them. It sends orders for 6 s after the store's last word, so that it started the tasks again on its own side. updateEarlierRunsKnown() had the same fault one owner later: a successor that waits for the leases of unseen runs and is cut off itself started tasks that a third owner had adopted.

Change: what an owner concludes from the time alone holds only if the store has confirmed its ownership after that time (wasOwnerAt): expired leases, the end of the wait for earlier runs, and the removal of an upstream's row, which counted as polled. What an upstream lists is proof as before. The cost: while the store is away, tasks on upstreams out of reach wait until it is back.

--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -43,6 +43,12 @@
     return isOwner(state) && isCurrent(membership.renewal, bound, now) && isCurrent(membership.listing, bound, now);
 }
 
+bool wasOwnerAt(const CellState& state, TimePoint time)
+{
+    // A listing with a later epoch ends the ownership, so that the latest one confirms it.
+    return isOwner(state) && state.membership.listing.at > time;
+}
+
 void loseOwnership(CellState& state, const std::string& why, CellActions& actions)
 {
     logMessage(actions, LogLevel::Warning, "ownership", "", "", "gave up ownership with token " + std::to_string(state.ownership.token) + ": " + why);
--- a/src/cell/Ownership.h
+++ b/src/cell/Ownership.h
@@ -18,6 +18,9 @@
 bool mayIssueOrders(const CellState&, TimePoint now);
 /// True once this instance owns the cell and has recovered its state.
 bool isOwner(const CellState&);
+/// True if the store has shown that no successor had acquired the cell by `time`. Whatever this owner takes for granted of
+/// runs that it can't see was not changed by a successor before.
+bool wasOwnerAt(const CellState&, TimePoint time);
 
 /// Drops ownership and all state that only the owner has. `why` is logged.
 void loseOwnership(CellState&, const std::string& why, CellActions&);
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -114,10 +114,11 @@
     actions.push_back(std::move(poll));
 }
 
-/// Ends the runs of an unreachable upstream once all leases given to it have expired.
+/// Ends the runs of an unreachable upstream once all leases given to it have expired. A successor would have adopted the
+/// runs and renewed the leases, so that time alone proves nothing.
 static void endExpiredRuns(CellState& state, UpstreamRow& upstream, const Instant& now, CellActions& actions)
 {
-    if (upstream.runs.empty() || now.steady <= upstream.leasesEnd)
+    if (upstream.runs.empty() || !wasOwnerAt(state, upstream.leasesEnd))
         return;
     logMessage(actions, LogLevel::Warning, "upstream.lapse", upstream.entry.id, "", "the leases of " + std::to_string(upstream.runs.size()) + " runs expired; the runs count as ended; ownership last confirmed " + describeAge(state.membership.listing, now.steady));
     std::vector<std::string> names;
@@ -131,8 +132,8 @@
 }
 
 /// Checks whether all runs of earlier owners are known: all their upstreams were polled, or their leases
-/// have expired. Until then a task that seems to wait may run on an unreachable upstream.
-static void updateEarlierRunsKnown(CellState& state, const Instant& now, CellActions& actions)
+/// have expired and no successor has renewed them. Until then a task that seems to wait may run on an unreachable upstream.
+static void updateEarlierRunsKnown(CellState& state, CellActions& actions)
 {
     Ownership& ownership = state.ownership;
     if (ownership.areEarlierRunsKnown)
@@ -141,7 +142,7 @@
         auto it = state.upstreams.find(target.id);
         return it == state.upstreams.end() || it->second.fenced || it->second.isReplaced;
     });
-    if (!areAllFenced && now.steady <= ownership.earlierRunsEnd)
+    if (!areAllFenced && !wasOwnerAt(state, ownership.earlierRunsEnd))
         return;
     ownership.areEarlierRunsKnown = true;
     state.placementDue = true;
@@ -161,7 +162,7 @@
         UpstreamRow& upstream = it->second;
         endExpiredRuns(state, upstream, now, actions);
         Duration keptFor = upstream.lapsedRuns.empty() ? Duration(0) : kRestartTime;
-        bool areLeasesOver = now.steady > upstream.leasesEnd + keptFor && now.steady > ownership.earlierRunsEnd;
+        bool areLeasesOver = wasOwnerAt(state, std::max(upstream.leasesEnd + keptFor, ownership.earlierRunsEnd));
         bool isGone = !upstream.listed && upstream.runs.empty() && areLeasesOver;
         if (isGone) {
             state.polls.erase(upstream.poll);
@@ -175,7 +176,7 @@
             sendPoll(state, upstream, now, actions);
         ++it;
     }
-    updateEarlierRunsKnown(state, now, actions);
+    updateEarlierRunsKnown(state, actions);
 }
 
 static void applyEnds(CellState& state, UpstreamRow& upstream, const PollResult& result, const Instant& now, CellActions& actions)
