Believe in an outage of the store only on the word of most failure domains

An owner that was cut off with its domain went on starting tasks by a configuration that was older than its bound of 2 s, which is what let it start tasks a second time 4 to 5 s after the cut.

Cause: isStoreAwayFromFleet() counted three answers, whoever gave them. One neighbour on the same side of the cut, asked three times, was enough.

Change: three peers have to say so, each within the last 1.5 s, and with this instance they have to cover most of the failure domains. Instances write their domain into their record for it; records of older versions hold none, which counts as one more domain. Peers are asked in turn, as a random choice hears the same ones again and again. A peer that the store serves ends the belief, as before.

Evidence: tests/DeclarationsTest.cpp.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -212,6 +212,7 @@
         std::string address;
         std::string incarnation;
         std::int64_t milliCpu { 0 }; ///< Processor share of the instance.
+        std::string domain; ///< Failure domain.
         TimePoint lastSeen; ///< Time of the latest store listing that held it.
         TimePoint since; ///< Time of the first of the listings that held it without a gap.
     };
@@ -385,9 +386,10 @@
     bool isAskingPeer { false };
     TimePoint nextPeerQuery;
     StoreRevision newestRevision { 0 }; ///< Highest revision of the configuration that any peer has named.
-    /// Consecutive answers of peers that know no newer configuration, and that the store has not served lately either.
-    std::size_t answersWithoutStore { 0 };
-    TimePoint answerWithoutStoreAt; ///< When the query for the latest of them was sent.
+    std::map<std::string, TimePoint> peerAskedAt; ///< Time of the latest query, by address of the peer.
+    /// When the latest query was sent to each peer that knows no newer configuration, and that the store has not served
+    /// lately either; by address. Empty once any peer was served.
+    std::map<std::string, TimePoint> peersWithoutStore;
     std::optional<TimePoint> transferSince; ///< Start of the latest transfer of a configuration from a peer; unset: ended.
     ListingReader evacuations;
     ListingReader waveListing;
--- a/src/cell/Declarations.cpp
+++ b/src/cell/Declarations.cpp
@@ -1,5 +1,8 @@
 #include "src/cell/Declarations.h"
 
+#include <algorithm>
+#include <set>
+
 #include "cell.pb.h"
 #include "src/cell/Latency.h"
 #include "src/cell/Ownership.h"
@@ -20,7 +23,7 @@
 /// An outage of the store is believed as long as peers go on to confirm it.
 static constexpr Duration kPeerAnswerValidity = std::chrono::milliseconds(1500);
 /// A single peer may be without the store for the same reason as this instance.
-static constexpr std::size_t kAnswersForOutage = 3;
+static constexpr std::size_t kPeersForOutage = 3;
 /// A configuration may be large and pass two slow links.
 static constexpr Duration kTransferTimeout = std::chrono::milliseconds(4000);
 /// A transfer from a peer that takes longer does not keep another from starting: the peer may have died.
@@ -42,10 +45,26 @@
     return isCurrent(state.configuration.confirmation, state.settings.configurationDeadline, now);
 }
 
-static std::size_t knownPeers(const CellState& state)
+/// True if enough peers have lately said that the store doesn't serve them either. Instances of one failure domain may be
+/// cut off together, so that most domains have to be heard.
+static bool isOutageConfirmedByPeers(const CellState& state, TimePoint now)
 {
-    const auto& instances = state.membership.instances;
-    return instances.size() - instances.count(state.settings.instance);
+    std::set<std::string> domains { state.settings.domain };
+    std::set<std::string> confirmingDomains = domains;
+    std::size_t peers = 0;
+    std::size_t confirmingPeers = 0;
+    for (const auto& [name, instance] : state.membership.instances) {
+        if (name == state.settings.instance)
+            continue;
+        ++peers;
+        domains.insert(instance.domain);
+        auto it = state.declarations.peersWithoutStore.find(instance.address);
+        if (it == state.declarations.peersWithoutStore.end() || now - it->second >= kPeerAnswerValidity)
+            continue;
+        ++confirmingPeers;
+        confirmingDomains.insert(instance.domain);
+    }
+    return confirmingPeers >= std::min(kPeersForOutage, peers) && 2 * confirmingDomains.size() > domains.size();
 }
 
 bool isStoreAwayFromFleet(const CellState& state, TimePoint now)
@@ -56,9 +75,7 @@
     const Confirmation& confirmation = state.configuration.confirmation;
     if (reader.newestRevision > confirmation.revision || isCurrent(confirmation, kPeerQueryAge, now))
         return false;
-    std::size_t needed = std::min(kAnswersForOutage, knownPeers(state));
-    bool isRecent = now - reader.answerWithoutStoreAt < kPeerAnswerValidity;
-    return needed == 0 || (isRecent && reader.answersWithoutStore >= needed);
+    return isOutageConfirmedByPeers(state, now);
 }
 
 // The configuration.
@@ -147,18 +164,28 @@
 
 // Peers, for an instance that the store does not serve.
 
+/// A random one of the peers that were not asked for the longest time, so that many are heard within kPeerAnswerValidity.
+/// Empty: there are no peers.
 static std::string choosePeerToAsk(CellState& state)
 {
-    std::vector<std::string> peers;
-    for (const auto& [name, instance] : state.membership.instances) {
-        if (instance.address != state.settings.address)
-            peers.push_back(instance.address);
-    }
+    std::set<std::string> peers;
+    for (const auto& [name, instance] : state.membership.instances)
+        peers.insert(instance.address);
+    peers.erase(state.settings.address);
     for (const std::string& seed : state.settings.seeds) {
         if (peers.empty() && seed != state.settings.address)
-            peers.push_back(seed);
+            peers.insert(seed);
+    }
+    std::map<std::string, TimePoint>& askedAt = state.declarations.peerAskedAt;
+    std::vector<std::string> longestUnasked;
+    for (const std::string& peer : peers) {
+        if (!longestUnasked.empty() && askedAt[peer] > askedAt[longestUnasked.front()])
+            continue;
+        if (!longestUnasked.empty() && askedAt[peer] < askedAt[longestUnasked.front()])
+            longestUnasked.clear();
+        longestUnasked.push_back(peer);
     }
-    return peers.empty() ? std::string() : peers[randomBelow(state, peers.size())];
+    return longestUnasked.empty() ? std::string() : longestUnasked[randomBelow(state, longestUnasked.size())];
 }
 
 static void handleTransfer(CellState& state, const std::string& peer, const wire::PeerMessage* answer, TimePoint sentAt, const Instant& now, CellActions& actions)
@@ -207,21 +234,28 @@
     if (body.revision() == confirmation.revision)
         confirmation = confirmedAgain(confirmation, sentAt - fromMilliseconds(body.age_ms()));
     bool isPeerServed = body.age_ms() < toMilliseconds(kPeerQueryAge);
-    reader.answersWithoutStore = isPeerServed ? 0 : reader.answersWithoutStore + 1;
-    reader.answerWithoutStoreAt = sentAt;
+    if (isPeerServed)
+        reader.peersWithoutStore.clear();
+    else
+        reader.peersWithoutStore[peer] = sentAt;
 }
 
 static void askPeer(CellState& state, const Instant& now, CellActions& actions)
 {
     DeclarationReader& reader = state.declarations;
-    bool isDue = !reader.isAskingPeer && now.steady >= reader.nextPeerQuery;
-    if (!isDue || isCurrent(state.configuration.confirmation, kPeerQueryAge, now.steady))
+    if (isCurrent(state.configuration.confirmation, kPeerQueryAge, now.steady)) {
+        reader.peerAskedAt.clear();
+        reader.peersWithoutStore.clear();
+        return;
+    }
+    if (reader.isAskingPeer || now.steady < reader.nextPeerQuery)
         return;
     reader.nextPeerQuery = now.steady + kPeerQueryInterval;
     std::string peer = choosePeerToAsk(state);
     if (peer.empty())
         return;
     reader.isAskingPeer = true;
+    reader.peerAskedAt[peer] = now.steady;
     wire::PeerMessage query;
     query.mutable_configuration_query()->set_wants_record(false);
     TimePoint sentAt = now.steady;
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -31,7 +31,7 @@
 {
     state.membership.registering = true;
     StoreChange command;
-    std::string record = encodeInstance({ state.settings.address, state.settings.incarnation, state.settings.milliCpu });
+    std::string record = encodeInstance({ state.settings.address, state.settings.incarnation, state.settings.milliCpu, state.settings.domain });
     command.puts.push_back({ kInstancePrefix + state.settings.instance, record, state.membership.lease });
     sendChange(state, std::move(command), handleRegistered, actions);
 }
@@ -97,7 +97,7 @@
     std::string name = entry.key.substr(std::string(kInstancePrefix).size());
     Membership::Instance& instance = state.membership.instances[name];
     bool isUnbroken = instance.incarnation == record->incarnation && instance.lastSeen == previousListing;
-    instance = { record->address, record->incarnation, record->milliCpu, now, isUnbroken ? instance.since : now };
+    instance = { record->address, record->incarnation, record->milliCpu, record->domain, now, isUnbroken ? instance.since : now };
 }
 
 static void expireInstances(Membership& membership, TimePoint now)
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -163,6 +163,7 @@
     out.set_address(instance.address);
     out.set_incarnation(instance.incarnation);
     out.set_milli_cpu(instance.milliCpu);
+    out.set_domain(instance.domain);
     return out.SerializeAsString();
 }
 
@@ -171,7 +172,7 @@
     wire::Instance in;
     if (!in.ParseFromString(bytes))
         return std::nullopt;
-    return InstanceRecord { in.address(), in.incarnation(), in.milli_cpu() };
+    return InstanceRecord { in.address(), in.incarnation(), in.milli_cpu(), in.domain() };
 }
 
 std::string encodeUpstreams(const std::vector<UpstreamTarget>& targets)
--- a/src/cell/RecordCodec.h
+++ b/src/cell/RecordCodec.h
@@ -35,6 +35,7 @@
     std::string address;
     std::string incarnation;
     std::int64_t milliCpu { 0 }; ///< Processor share of the instance.
+    std::string domain; ///< Failure domain.
 };
 
 /// The share as text, like "500m".
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -282,8 +282,8 @@
     larger.state.configuration.value = std::make_shared<const FleetPolicy>();
     OwnerRecord owner { "i0", "i0", "i0-1", 4, 0 };
     std::vector<StoreEntry> listing { { kEpochKey, "4", 20 }, { kOwnerKey, encodeOwner(owner), 20 } };
-    listing.push_back({ kInstancePrefix + std::string("i0"), encodeInstance({ "i0", "i0-1", 120 }), 10 });
-    listing.push_back({ kInstancePrefix + std::string("i1"), encodeInstance({ "i1", "i1-1", 500 }), 30 });
+    listing.push_back({ kInstancePrefix + std::string("i0"), encodeInstance({ "i0", "i0-1", 120, "" }), 10 });
+    listing.push_back({ kInstancePrefix + std::string("i1"), encodeInstance({ "i1", "i1-1", 500, "" }), 30 });
     larger.runTick();
     larger.answer(larger.listing, listing);
     larger.runTick();
--- a/tests/CellSuccessorTest.cpp
+++ b/tests/CellSuccessorTest.cpp
@@ -23,7 +23,7 @@
     /// Lists the instances with an epoch, and an owner unless its token is 0.
     void list(int epoch, const OwnerRecord& owner, const std::string& incarnation)
     {
-        std::vector<StoreEntry> entries { { kEpochKey, std::to_string(epoch), 20 + epoch }, { kInstancePrefix + std::string("i9"), encodeInstance({ "i9", incarnation, 120 }), 21 } };
+        std::vector<StoreEntry> entries { { kEpochKey, std::to_string(epoch), 20 + epoch }, { kInstancePrefix + std::string("i9"), encodeInstance({ "i9", incarnation, 120, "" }), 21 } };
         if (owner.token != 0)
             entries.push_back({ kOwnerKey, encodeOwner(owner), 20 });
         runTick();
--- a/tests/DeclarationsTest.cpp
+++ b/tests/DeclarationsTest.cpp
@@ -1,3 +1,4 @@
+#include "src/cell/Declarations.h"
 #include "tests/CellFixture.h"
 
 using namespace crocuslever;
@@ -250,6 +251,55 @@
     }
 }
 
+static CellFixture makeCell(int instances, std::uint64_t seed)
+{
+    EmulatorSettings settings;
+    settings.instances = instances;
+    settings.seed = seed;
+    return CellFixture(settings);
+}
+
+/// Runs the cell for `limit`, and counts the moments at which the instance takes the store for away from the fleet.
+static int countBeliefs(CellEmulator& emulator, std::size_t instance, Duration limit)
+{
+    int count = 0;
+    for (TimePoint end = emulator.now() + limit; emulator.now() < end; emulator.runFor(std::chrono::milliseconds(100)))
+        count += isStoreAwayFromFleet(emulator.core(instance), emulator.now());
+    return count;
+}
+
+// Instances that were cut off together told each other that the store was away from the fleet.
+BOOST_AUTO_TEST_CASE(OutageIsBelievedOnTheWordOfOneDomain)
+{
+    for (int instances : { 5, 9 }) {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            BOOST_TEST_CONTEXT(instances << " instances, seed " << seed)
+            {
+                CellFixture cell = makeCell(instances, seed);
+                std::size_t former = cell.owner();
+                cell.emulator.cutDomain(cell.emulator.domainOf(former), true);
+                BOOST_TEST(countBeliefs(cell.emulator, former, std::chrono::seconds(8)) == 0);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(OutageIsBelievedInALargeFleet)
+{
+    for (int instances : { 9, 40 }) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            BOOST_TEST_CONTEXT(instances << " instances, seed " << seed)
+            {
+                CellFixture cell = makeCell(instances, seed);
+                std::size_t owner = cell.owner();
+                cell.emulator.setStoreDown(true);
+                cell.emulator.runFor(kInForce);
+                BOOST_TEST(countBeliefs(cell.emulator, owner, std::chrono::seconds(3)) == 30);
+            }
+        }
+    }
+}
+
 // The owner is the last of its fleet, and the store serves the operators but not the owner.
 BOOST_AUTO_TEST_CASE(OwnerAloneWithoutTheStoreStartsTasksOnDrainingUpstreams)
 {
