--- a/tests/CellCrashTest.cpp
+++ b/tests/CellCrashTest.cpp
@@ -137,6 +137,31 @@
     BOOST_TEST(cell.isIn(1, cell::JobState::Running, cell.owner()));
 }
 
+// A start without an answer was repeated to an upstream whose restart no later owner could have learnt of.
+BOOST_AUTO_TEST_CASE(RepeatedStartReachesAnUpstreamThatNoRecordNames)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.seed = seed;
+            settings.upstreams = 1;
+            CellFixture cell(settings);
+            cell.emulator.cutUpstream("u0", true);
+            cell.emulator.submit(jobId(1), makeJob(makeScript(300), { makeStep(1, 1000) }), cell.other());
+            cell.emulator.runFor(std::chrono::milliseconds(300));
+            cell.emulator.setStoreDown(true);
+            cell.emulator.crashUpstream("u0");
+            cell.emulator.cutUpstream("u0", false);
+            cell.emulator.runFor(std::chrono::milliseconds(1500));
+            BOOST_TEST(cell.emulator.history().empty());
+            cell.emulator.setStoreDown(false);
+            BOOST_TEST(cell.waitFor(1, cell::JobState::Completed, std::chrono::seconds(15), cell.owner()));
+            cell.checkRules();
+        }
+    }
+}
+
 // A working upstream was taken for one that has ended, and its tasks were started again elsewhere.
 BOOST_AUTO_TEST_CASE(UpstreamIsReplacedByAnOddEntryAtItsAddress)
 {
