Split recovery and the job queue from Ownership.cpp

Moved only; no logic changes. isRestarted() is in Membership now, since ownership and recovery use it.

--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -4,6 +4,7 @@
 
 #include "cell.pb.h"
 #include "src/cell/Declarations.h"
+#include "src/cell/JobQueue.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
 #include "src/cell/Latency.h"
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -159,6 +159,14 @@
     listInstances(state, now, actions);
 }
 
+bool isRestarted(const CellState& state, const std::string& instance, const std::string& incarnation)
+{
+    if (instance == state.settings.instance)
+        return incarnation != state.settings.incarnation;
+    auto it = state.membership.instances.find(instance);
+    return it != state.membership.instances.end() && it->second.incarnation != incarnation;
+}
+
 void leaveCell(CellState& state, CellActions& actions)
 {
     if (state.membership.lease != 0)
--- a/src/cell/Membership.h
+++ b/src/cell/Membership.h
@@ -10,6 +10,9 @@
 /// Records the epoch key as it was read from the store, in either copy. An older reading is ignored.
 void recordEpoch(Membership&, const StoreEntry&);
 
+/// True if another incarnation runs under the name of the instance.
+bool isRestarted(const CellState&, const std::string& instance, const std::string& incarnation);
+
 /// Maintains this instance's lease and registration in the store, and polls the
 /// store for the other instances and the cell's owner.
 void tickMembership(CellState&, const Instant& now, CellActions&);
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 
-#include "src/cell/Jobs.h"
+#include "src/cell/JobQueue.h"
 #include "src/cell/Keys.h"
 #include "src/cell/Membership.h"
+#include "src/cell/Recovery.h"
 #include "src/cell/StoreCalls.h"
-#include "src/cell/UpstreamDirectory.h"
-#include "src/cell/Upstreams.h"
 
 namespace crocuslever::cell {
 
@@ -23,12 +22,7 @@
 /// Both have to be listed together for this long first.
 static constexpr Duration kTakeoverDelay = std::chrono::seconds(1);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
-static constexpr Duration kWatchWait = std::chrono::milliseconds(1000);
-/// Instances notify the owner of what they store, so the watch only has to cover lost notices.
-static constexpr Duration kWatchPause = std::chrono::milliseconds(150);
 static constexpr Duration kOwnerKeyInterval = std::chrono::milliseconds(500); ///< Between writes of the owner key.
-static constexpr Duration kNoticeLifetime = std::chrono::seconds(10);
-static constexpr int kRecoveryReads = 3; ///< Known upstreams, queue and progress.
 
 bool isOwner(const CellState& state)
 {
@@ -71,8 +65,6 @@
     state.adviceCalls.clear();
 }
 
-static void beginRecovery(CellState&, const Instant& now, CellActions&);
-
 static void beginOwnership(CellState& state, std::int64_t token, StoreRevision epochRevision, const Instant& now, CellActions& actions)
 {
     Ownership& ownership = state.ownership;
@@ -90,15 +82,6 @@
     beginRecovery(state, now, actions);
 }
 
-/// True if another incarnation runs under the name of the instance.
-static bool isRestarted(const CellState& state, const std::string& instance, const std::string& incarnation)
-{
-    if (instance == state.settings.instance)
-        return incarnation != state.settings.incarnation;
-    auto it = state.membership.instances.find(instance);
-    return it != state.membership.instances.end() && it->second.incarnation != incarnation;
-}
-
 void applyOwnerRecord(CellState& state, const OwnerRecord& owner, const Instant& now, CellActions& actions)
 {
     Membership& membership = state.membership;
@@ -214,185 +197,6 @@
     sendChange(state, std::move(command), then, actions);
 }
 
-static bool isRecoveryOf(const CellState& state, std::int64_t token)
-{
-    return state.ownership.phase == OwnerPhase::Recovering && state.ownership.token == token;
-}
-
-static void finishRecoveryRead(CellState& state, const Instant& now, CellActions& actions)
-{
-    Ownership& ownership = state.ownership;
-    if (--ownership.readsLeft > 0)
-        return;
-    ownership.phase = OwnerPhase::Deciding;
-    state.placementDue = true;
-    logMessage(actions, LogLevel::Info, "ownership", "", "", "recovered " + std::to_string(state.jobs.size()) + " jobs and " + std::to_string(ownership.earlierUpstreams.size()) + " known upstreams in " + std::to_string(toMilliseconds(now.steady - ownership.since)) + " ms");
-}
-
-using ReadHandler = void (*)(CellState&, const StoreReply&, const Instant&, CellActions&);
-
-/// Lists a prefix, with retries until it succeeds, and completes one read of the recovery.
-static void readForRecovery(CellState& state, const std::string& prefix, ReadHandler apply, CellActions& actions)
-{
-    std::int64_t token = state.ownership.token;
-    auto then = [prefix, apply, token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
-        if (!isRecoveryOf(s, token))
-            return;
-        if (reply.status != StoreStatus::Ok) {
-            logMessage(out, LogLevel::Warning, "ownership", "", "", "reading prefix " + prefix + " failed; retrying");
-            readForRecovery(s, prefix, apply, out);
-            return;
-        }
-        apply(s, reply, at, out);
-        finishRecoveryRead(s, at, out);
-    };
-    listKeys(state, prefix, then, actions);
-}
-
-static void applyKnownUpstreams(CellState& state, const StoreReply& reply, const Instant& now, CellActions&)
-{
-    Ownership& ownership = state.ownership;
-    for (const StoreEntry& entry : reply.entries) {
-        std::optional<std::vector<UpstreamTarget>> targets = decodeUpstreams(entry.value);
-        if (targets)
-            ownership.earlierUpstreams = *targets;
-    }
-    for (const UpstreamTarget& target : ownership.earlierUpstreams)
-        addEarlierUpstream(state, target, now.steady);
-}
-
-static void applyQueue(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
-{
-    state.ownership.queuePosition = { reply.revision, 0, {} };
-    for (const StoreEntry& entry : reply.entries)
-        applyQueueEntry(state, entry, now, actions);
-}
-
-static void applyAllProgress(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
-{
-    for (const StoreEntry& entry : reply.entries)
-        applyProgressEntry(state, entry, now, actions);
-}
-
-/// Reads the queue, then the progress, which is ignored for unknown jobs.
-static void readQueueForRecovery(CellState& state, CellActions& actions)
-{
-    std::int64_t token = state.ownership.token;
-    auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
-        if (!isRecoveryOf(s, token))
-            return;
-        if (reply.status != StoreStatus::Ok) {
-            readQueueForRecovery(s, out);
-            return;
-        }
-        applyQueue(s, reply, at, out);
-        s.ownership.queueReadRevision = reply.revision;
-        finishRecoveryRead(s, at, out);
-        readForRecovery(s, kProgressPrefix, applyAllProgress, out);
-    };
-    listKeys(state, kQueuePrefix, then, actions);
-}
-
-/// True if the previous owner's process has ended.
-static bool hasPredecessorEnded(const CellState& state)
-{
-    const Ownership& ownership = state.ownership;
-    return ownership.isPredecessorKnown && isRestarted(state, ownership.predecessor, ownership.predecessorIncarnation);
-}
-
-/// No owner before this one sends orders later than this. A previous owner that has ended sends none, but those before it
-/// may be alive and cut off from the store: they go on for ownerLeaseTimeout after it acquired the cell.
-static TimePoint earlierOrdersEnd(const CellState& state, TimePoint now)
-{
-    const Ownership& ownership = state.ownership;
-    Duration timeout = state.settings.ownerLeaseTimeout;
-    if (!ownership.isPredecessorGone)
-        return now + timeout;
-    return ownership.isPredecessorSettled ? now : std::max(now, ownership.predecessorSince + timeout);
-}
-
-static void beginRecovery(CellState& state, const Instant& now, CellActions& actions)
-{
-    Ownership& ownership = state.ownership;
-    ownership.readsLeft = kRecoveryReads;
-    ownership.isPredecessorGone = hasPredecessorEnded(state);
-    ownership.earlierRunsEnd = leaseEndAfter(earlierOrdersEnd(state, now.steady), state.settings.runLease);
-    readForRecovery(state, kUpstreamsKey, applyKnownUpstreams, actions);
-    readQueueForRecovery(state, actions);
-}
-
-/// Gives the cell up if the queue holds a later token. The jobs stored since then are the successor's.
-static bool losesToSuccessor(CellState& state, const StoreReply& reply, CellActions& actions)
-{
-    for (const StoreEntry& entry : reply.entries) {
-        if (entry.key == kQueueEpochKey)
-            recordEpoch(state.membership, entry);
-    }
-    bool hasSuccessor = state.membership.epoch > state.ownership.token;
-    if (hasSuccessor)
-        loseOwnership(state, "the job queue holds a later token", actions);
-    return hasSuccessor;
-}
-
-static void handleQueueChanges(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
-{
-    if (losesToSuccessor(state, reply, actions))
-        return;
-    for (const StoreEntry& entry : reply.entries)
-        applyQueueEntry(state, entry, now, actions);
-    advanceWatch(state.ownership.queuePosition, reply, now.steady);
-}
-
-/// A notice may be delayed. Its job may have ended meanwhile, and the owner keeps
-/// ended jobs only for a limited time, so an old notice would start the job again.
-void handleQueueNotice(CellState& state, const QueueNotice& notice, const Instant& now, CellActions& actions)
-{
-    const Ownership& ownership = state.ownership;
-    bool isForUs = isOwner(state) && notice.token == ownership.token;
-    bool isRecent = std::abs(now.wallMs - notice.sentMs) < toMilliseconds(kNoticeLifetime);
-    // Entries stored before the full read of the queue are in the table or have ended.
-    bool isNewer = notice.entry.modRevision > ownership.queueReadRevision;
-    if (isForUs && isRecent && isNewer)
-        applyQueueEntry(state, notice.entry, now, actions);
-}
-
-static void rereadQueue(CellState& state, CellActions& actions)
-{
-    std::int64_t token = state.ownership.token;
-    auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
-        if (!isOwner(s) || s.ownership.token != token)
-            return;
-        s.ownership.watch = 0;
-        s.ownership.nextWatch = at.steady + (reply.status == StoreStatus::Ok ? Duration(0) : kRetryInterval);
-        if (reply.status == StoreStatus::Ok && !losesToSuccessor(s, reply, out))
-            applyQueue(s, reply, at, out);
-    };
-    listKeys(state, kQueuePrefix, then, actions);
-}
-
-static void watchQueue(CellState& state, const Instant& now, CellActions& actions)
-{
-    Ownership& ownership = state.ownership;
-    if (ownership.watch != 0 || now.steady < ownership.nextWatch)
-        return;
-    std::int64_t token = ownership.token;
-    auto then = [token](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) {
-        if (!isOwner(s) || s.ownership.token != token)
-            return;
-        if (reply.status == StoreStatus::HistoryLost) {
-            logMessage(out, LogLevel::Warning, "ownership", "", "", "the store has compacted the history after revision " + std::to_string(s.ownership.queuePosition.revision) + "; rereading the job queue");
-            rereadQueue(s, out);
-            return;
-        }
-        s.ownership.watch = 0;
-        bool isOk = reply.status == StoreStatus::Ok;
-        if (isOk)
-            handleQueueChanges(s, reply, at, out);
-        s.ownership.nextWatch = at.steady + (isOk ? kWatchPause : kRetryInterval);
-    };
-    ownership.watch = awaitChanges(state, kQueuePrefix, ownership.queuePosition.revision, kWatchWait, then, actions);
-}
-
 /// True if owners before this one send no orders any more.
 static bool isSettled(const CellState& state, TimePoint now)
 {
@@ -438,17 +242,6 @@
         writeOwnerKey(state, now, actions);
 }
 
-/// Waits no longer for the lease of a previous owner that turns out to have restarted.
-static void checkPredecessor(CellState& state, const Instant& now, CellActions& actions)
-{
-    Ownership& ownership = state.ownership;
-    if (ownership.isPredecessorGone || ownership.areEarlierRunsKnown || !hasPredecessorEnded(state))
-        return;
-    ownership.isPredecessorGone = true;
-    ownership.earlierRunsEnd = std::min(ownership.earlierRunsEnd, leaseEndAfter(earlierOrdersEnd(state, now.steady), state.settings.runLease));
-    logMessage(actions, LogLevel::Info, "ownership", ownership.predecessor, "", "the previous owner has restarted; leases of earlier runs expire within " + std::to_string(toMilliseconds(ownership.earlierRunsEnd - now.steady)) + " ms");
-}
-
 void tickOwnership(CellState& state, const Instant& now, CellActions& actions)
 {
     Ownership& ownership = state.ownership;
--- a/src/cell/Ownership.h
+++ b/src/cell/Ownership.h
@@ -27,14 +27,4 @@
 /// Deletes the owner key, so that another instance can acquire the cell at once, and drops ownership.
 void releaseOwnership(CellState&, const Instant& now, CellActions&);
 
-/// Notice from an instance that it has stored a job or a cancellation.
-struct QueueNotice {
-    StoreEntry entry;
-    std::int64_t token { 0 }; ///< Fencing token of the owner that it is addressed to.
-    std::int64_t sentMs { 0 }; ///< Unix time.
-};
-
-/// Applies a notice before the queue watch delivers the entry. Stale notices are ignored.
-void handleQueueNotice(CellState&, const QueueNotice&, const Instant& now, CellActions&);
-
 } // namespace crocuslever::cell
--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -7,6 +7,7 @@
 #include "src/cell/Declarations.h"
 #include "src/cell/Delegation.h"
 #include "src/cell/Entry.h"
+#include "src/cell/JobQueue.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/Relay.h"
