Take no listing without the epoch for a confirmation of the ownership

Change: the epoch key is never deleted, so that a listing without it is older than what this instance knows, or malformed; it is requested again.

Evidence: ListingWithoutTheEpochConfirmsTheOwner in tests/CellSuccessorTest.cpp failed before, and holds.

--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -81,12 +81,13 @@
     membership.epochRevision = entry.modRevision;
 }
 
-/// True if the listing is older than what this instance knows. It may name an owner that has lost the cell.
+/// True if the listing is older than what this instance knows, or lacks the epoch, which is never deleted. It may name an
+/// owner that has lost the cell.
 static bool isOutdated(const Membership& membership, const StoreReply& listing)
 {
-    return std::any_of(listing.entries.begin(), listing.entries.end(), [&membership](const StoreEntry& it) {
-        return it.key == kEpochKey && it.modRevision < membership.epochRevision;
-    });
+    auto epoch = std::find_if(listing.entries.begin(), listing.entries.end(), [](const StoreEntry& it) { return it.key == kEpochKey; });
+    StoreRevision revision = epoch == listing.entries.end() ? 0 : epoch->modRevision;
+    return revision < membership.epochRevision;
 }
 
 static void applyInstanceEntry(CellState& state, const StoreEntry& entry, TimePoint previousListing, TimePoint now)
--- a/tests/CellSuccessorTest.cpp
+++ b/tests/CellSuccessorTest.cpp
@@ -79,6 +79,15 @@
     BOOST_CHECK(!emulator.core(third).ownership.isPredecessorSettled);
 }
 
+// An answer of the store without any keys was taken for its word that there is no successor.
+BOOST_FIXTURE_TEST_CASE(ListingWithoutTheEpochConfirmsTheOwner, SuccessorFixture)
+{
+    list(5, { "i9", "i9", "i9-1", 5, 0 }, "i9-1");
+    Confirmation before = state.membership.listing;
+    answer(listing, {});
+    BOOST_CHECK(state.membership.listing == before);
+}
+
 // The same, and the previous owner was never listed to this instance.
 BOOST_FIXTURE_TEST_CASE(UnknownOwnerCountsAsGone, SuccessorFixture)
 {
