Repeat no start while polls fail

Until a poll tells of a restart, what is known of the upstream belongs to its earlier incarnation, so that a start without an answer was still repeated to one that no record names.

Change: while polls of the upstream fail, a start waits. What remains: a poll that is still open when the upstream restarts without closing its connections; a start repeated before that poll's timeout reaches the new incarnation.

Evidence: RepeatedStartOvertakesThePollThatTellsOfTheRestart failed on 4 of 30 delays before, and holds on all.

--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -351,14 +351,15 @@
 }
 
 /// The start may have become forbidden since it was first ordered. An upstream that has restarted has forgotten the fencing
-/// token of a successor, so that the record of known upstreams has to name the new incarnation first, as for any start.
+/// token of a successor, so that the record of known upstreams has to name the new incarnation first, as for any start. While
+/// polls fail, it may have restarted.
 static void resendStart(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, const Instant& now, CellActions& actions)
 {
     if (!isOpen(state, upstream)) {
         if (isGangRun(state, run.task))
             stopGang(state, run.task, now, actions);
         stopRun(state, upstream, name, now, actions);
-    } else if (upstream.isStored && upstream.fenced && mayStartTasks(state, now.steady)) {
+    } else if (upstream.isStored && upstream.fenced && upstream.failedPolls == 0 && mayStartTasks(state, now.steady)) {
         sendStart(state, upstream, name, run, now, actions);
     } else {
         retryOrder(state, upstream, name, now.steady);
--- a/tests/CellCrashTest.cpp
+++ b/tests/CellCrashTest.cpp
@@ -162,6 +162,33 @@
     }
 }
 
+/// From the first order until the upstream is back, in steps around the time after which the order is repeated.
+static constexpr std::int64_t kShortestDelayMs = 200;
+static constexpr std::int64_t kDelayStepMs = 17;
+static constexpr std::uint64_t kDelays = 30;
+
+// A start without an answer was repeated to a restarted upstream before a poll could tell of the restart.
+BOOST_AUTO_TEST_CASE(RepeatedStartOvertakesThePollThatTellsOfTheRestart)
+{
+    for (std::uint64_t seed = 1; seed <= kDelays; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatorSettings settings;
+            settings.seed = seed;
+            settings.upstreams = 1;
+            CellFixture cell(settings);
+            cell.emulator.cutUpstream("u0", true);
+            cell.emulator.submit(jobId(1), makeJob(makeScript(300), { makeStep(1, 1000) }), cell.other());
+            cell.emulator.runFor(std::chrono::milliseconds(kShortestDelayMs + kDelayStepMs * static_cast<std::int64_t>(seed)));
+            cell.emulator.setStoreDown(true);
+            cell.emulator.crashUpstream("u0");
+            cell.emulator.cutUpstream("u0", false);
+            cell.emulator.runFor(std::chrono::milliseconds(1200));
+            BOOST_TEST(cell.emulator.history().empty());
+        }
+    }
+}
+
 // A working upstream was taken for one that has ended, and its tasks were started again elsewhere.
 BOOST_AUTO_TEST_CASE(UpstreamIsReplacedByAnOddEntryAtItsAddress)
 {
