Believe in an outage beside a dead instance or a silent domain

With the store down and one instance dead, a fleet of 3 or 4 never believed in the outage, as every peer had to answer; with another domain cut off, a fleet of 9 believed at 24 of 30 moments and one of 40 at 16, as each silent peer took 0.4 s of the 1.5 s in which answers are valid.

Change: peers that don't answer are not counted, as the majority of the domains is what protects from a cut; a query is sent every 0.2 s whether or not the one before is answered; and the domain that was not asked for the longest time is asked first.

With 14 domains or more the majority can't be heard in 1.5 s, at one query every 0.2 s.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -376,6 +376,15 @@
     TimePoint nextRead;
 };
 
+/// What a peer has said of the store, while the store does not confirm the configuration to this instance.
+struct PeerOutlook {
+    TimePoint askedAt; ///< When the latest query was sent.
+    bool isSilent { false }; ///< Its latest query got no answer in time.
+    /// When the latest query was sent whose answer named no newer configuration, and no recent contact with the store;
+    /// TimePoint(): never, or a peer was served since.
+    TimePoint withoutStoreAt;
+};
+
 /// How the operators' declarations are kept current.
 struct DeclarationReader {
     std::shared_ptr<const StoreEntry> record; ///< The configuration as it was read, for peers; null: none was read.
@@ -383,13 +392,9 @@
     TimePoint checkSentAt; ///< When the latest check was sent.
     TimePoint nextCheck;
     int failures { 0 }; ///< Consecutive checks without a usable answer.
-    bool isAskingPeer { false };
     TimePoint nextPeerQuery;
     StoreRevision newestRevision { 0 }; ///< Highest revision of the configuration that any peer has named.
-    std::map<std::string, TimePoint> peerAskedAt; ///< Time of the latest query, by address of the peer.
-    /// When the latest query was sent to each peer that knows no newer configuration, and that the store has not served
-    /// lately either; by address. Empty once any peer was served.
-    std::map<std::string, TimePoint> peersWithoutStore;
+    std::map<std::string, PeerOutlook> peers; ///< By address.
     std::optional<TimePoint> transferSince; ///< Start of the latest transfer of a configuration from a peer; unset: ended.
     ListingReader evacuations;
     ListingReader waveListing;
--- a/src/cell/Declarations.cpp
+++ b/src/cell/Declarations.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 #include "cell.pb.h"
 #include "src/cell/Latency.h"
@@ -46,25 +47,29 @@
 }
 
 /// True if enough peers have lately said that the store doesn't serve them either. Instances of one failure domain may be
-/// cut off together, so that most domains have to be heard.
+/// cut off together, so that most domains have to be heard. Peers that don't answer may be dead.
 static bool isOutageConfirmedByPeers(const CellState& state, TimePoint now)
 {
+    const Membership& membership = state.membership;
+    const std::map<std::string, PeerOutlook>& outlooks = state.declarations.peers;
     std::set<std::string> domains { state.settings.domain };
     std::set<std::string> confirmingDomains = domains;
-    std::size_t peers = 0;
-    std::size_t confirmingPeers = 0;
-    for (const auto& [name, instance] : state.membership.instances) {
+    std::size_t answering = 0;
+    std::size_t confirming = 0;
+    for (const auto& [name, instance] : membership.instances) {
         if (name == state.settings.instance)
             continue;
-        ++peers;
         domains.insert(instance.domain);
-        auto it = state.declarations.peersWithoutStore.find(instance.address);
-        if (it == state.declarations.peersWithoutStore.end() || now - it->second >= kPeerAnswerValidity)
+        auto it = outlooks.find(instance.address);
+        answering += it == outlooks.end() || !it->second.isSilent;
+        if (it == outlooks.end() || now - it->second.withoutStoreAt >= kPeerAnswerValidity)
             continue;
-        ++confirmingPeers;
+        ++confirming;
         confirmingDomains.insert(instance.domain);
     }
-    return confirmingPeers >= std::min(kPeersForOutage, peers) && 2 * confirmingDomains.size() > domains.size();
+    std::size_t peers = membership.instances.size() - membership.instances.count(state.settings.instance);
+    std::size_t needed = peers == 0 ? 0 : std::clamp<std::size_t>(answering, 1, kPeersForOutage);
+    return confirming >= needed && 2 * confirmingDomains.size() > domains.size();
 }
 
 bool isStoreAwayFromFleet(const CellState& state, TimePoint now)
@@ -164,28 +169,29 @@
 
 // Peers, for an instance that the store does not serve.
 
-/// A random one of the peers that were not asked for the longest time, so that many are heard within kPeerAnswerValidity.
-/// Empty: there are no peers.
+/// A peer of the failure domain that was not asked for the longest time, so that most domains are heard within
+/// kPeerAnswerValidity. Empty: there are no peers.
 static std::string choosePeerToAsk(CellState& state)
 {
-    std::set<std::string> peers;
+    std::map<std::string, std::string> domainOfPeer; // By address.
     for (const auto& [name, instance] : state.membership.instances)
-        peers.insert(instance.address);
-    peers.erase(state.settings.address);
+        domainOfPeer[instance.address] = instance.domain;
+    domainOfPeer.erase(state.settings.address);
     for (const std::string& seed : state.settings.seeds) {
-        if (peers.empty() && seed != state.settings.address)
-            peers.insert(seed);
+        if (domainOfPeer.empty() && seed != state.settings.address)
+            domainOfPeer[seed];
     }
-    std::map<std::string, TimePoint>& askedAt = state.declarations.peerAskedAt;
-    std::vector<std::string> longestUnasked;
-    for (const std::string& peer : peers) {
-        if (!longestUnasked.empty() && askedAt[peer] > askedAt[longestUnasked.front()])
-            continue;
-        if (!longestUnasked.empty() && askedAt[peer] < askedAt[longestUnasked.front()])
-            longestUnasked.clear();
-        longestUnasked.push_back(peer);
+    std::map<std::string, PeerOutlook>& outlooks = state.declarations.peers;
+    std::map<std::string, TimePoint> domainAskedAt;
+    for (const auto& [address, domain] : domainOfPeer)
+        domainAskedAt[domain] = std::max(domainAskedAt[domain], outlooks[address].askedAt);
+    using Turn = std::tuple<TimePoint, TimePoint, std::uint64_t, std::string>;
+    std::optional<Turn> next;
+    for (const auto& [address, domain] : domainOfPeer) {
+        Turn turn { domainAskedAt[domain], outlooks[address].askedAt, randomBelow(state, UINT64_MAX), address };
+        next = std::min(next.value_or(turn), turn);
     }
-    return longestUnasked.empty() ? std::string() : longestUnasked[randomBelow(state, longestUnasked.size())];
+    return next ? std::get<std::string>(*next) : std::string();
 }
 
 static void handleTransfer(CellState& state, const std::string& peer, const wire::PeerMessage* answer, TimePoint sentAt, const Instant& now, CellActions& actions)
@@ -221,7 +227,7 @@
 static void handlePeerAnswer(CellState& state, const std::string& peer, const wire::PeerMessage* answer, TimePoint sentAt, const Instant& now, CellActions& actions)
 {
     DeclarationReader& reader = state.declarations;
-    reader.isAskingPeer = false;
+    reader.peers[peer].isSilent = !answer;
     if (!answer || !answer->has_configuration_answer() || !answer->configuration_answer().known())
         return;
     const wire::ConfigurationAnswer& body = answer->configuration_answer();
@@ -234,28 +240,28 @@
     if (body.revision() == confirmation.revision)
         confirmation = confirmedAgain(confirmation, sentAt - fromMilliseconds(body.age_ms()));
     bool isPeerServed = body.age_ms() < toMilliseconds(kPeerQueryAge);
-    if (isPeerServed)
-        reader.peersWithoutStore.clear();
-    else
-        reader.peersWithoutStore[peer] = sentAt;
+    if (!isPeerServed) {
+        reader.peers[peer].withoutStoreAt = sentAt;
+        return;
+    }
+    for (auto& [address, outlook] : reader.peers)
+        outlook.withoutStoreAt = {};
 }
 
 static void askPeer(CellState& state, const Instant& now, CellActions& actions)
 {
     DeclarationReader& reader = state.declarations;
     if (isCurrent(state.configuration.confirmation, kPeerQueryAge, now.steady)) {
-        reader.peerAskedAt.clear();
-        reader.peersWithoutStore.clear();
+        reader.peers.clear();
         return;
     }
-    if (reader.isAskingPeer || now.steady < reader.nextPeerQuery)
+    if (now.steady < reader.nextPeerQuery)
         return;
     reader.nextPeerQuery = now.steady + kPeerQueryInterval;
     std::string peer = choosePeerToAsk(state);
     if (peer.empty())
         return;
-    reader.isAskingPeer = true;
-    reader.peerAskedAt[peer] = now.steady;
+    reader.peers[peer].askedAt = now.steady;
     wire::PeerMessage query;
     query.mutable_configuration_query()->set_wants_record(false);
     TimePoint sentAt = now.steady;
--- a/tests/DeclarationsTest.cpp
+++ b/tests/DeclarationsTest.cpp
@@ -300,6 +300,37 @@
     }
 }
 
+static constexpr int kMoments = 30; ///< At which the belief in an outage is looked at.
+
+static int countOutageBeliefs(int instances, bool isOneDead)
+{
+    CellFixture cell = makeCell(instances, 1);
+    CellEmulator& emulator = cell.emulator;
+    std::size_t owner = cell.owner();
+    std::size_t other = (owner + 1) % static_cast<std::size_t>(instances);
+    if (isOneDead)
+        emulator.kill(other);
+    else
+        emulator.cutDomain(emulator.domainOf(other), true);
+    emulator.setStoreDown(true);
+    emulator.runFor(std::chrono::seconds(3));
+    return countBeliefs(emulator, owner, std::chrono::seconds(3));
+}
+
+// One dead instance of a small fleet kept the others from believing in an outage.
+BOOST_AUTO_TEST_CASE(OutageIsDoubtedAsAnInstanceIsDead)
+{
+    for (int instances : { 3, 4, 5, 9 })
+        BOOST_TEST_CONTEXT(instances << " instances") { BOOST_TEST(countOutageBeliefs(instances, true) == kMoments); }
+}
+
+// Silent peers of another domain took the time in which the answers of the others are valid.
+BOOST_AUTO_TEST_CASE(OutageIsDoubtedAsAnotherDomainIsSilent)
+{
+    for (int instances : { 5, 9, 40 })
+        BOOST_TEST_CONTEXT(instances << " instances") { BOOST_TEST(countOutageBeliefs(instances, false) == kMoments); }
+}
+
 // The owner is the last of its fleet, and the store serves the operators but not the owner.
 BOOST_AUTO_TEST_CASE(OwnerAloneWithoutTheStoreStartsTasksOnDrainingUpstreams)
 {
