Keep a task as it is while a run of it goes on

Seen on the emulator: run 1 goes on on one upstream, run 10001 has lapsed on another, and the next owner starts run 20001.

Cause: the end of any run with a higher number put the task back to waiting, whatever run an upstream listed. A successor that heard of the end first took the listed run for superseded by its lower number, and ordered its stop, but started the task at once.

Change: the end of another run counts for the budget, and as done if it is, but leaves a task alone whose run holds room on an upstream. A waiting task takes over a listed run whatever its number, unless it belongs to a gang. The highest number of any known run is kept beside the number of the run that goes on, so that none is used again. Once a task is done, the run that goes on is stopped.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -53,7 +53,8 @@
 struct TaskRow {
     TaskPhase phase { TaskPhase::Waiting };
     std::string upstream; ///< Upstream of the latest run; empty if there was none.
-    int run { 0 }; ///< Number of the latest run; 0: none.
+    int run { 0 }; ///< Number of the latest run, or of an earlier one that goes on; 0: none.
+    int highestRun { 0 }; ///< Highest number of any run that is known; not used again.
     std::set<int> failedRuns; ///< Numbers of the runs that failed.
     CrashedRuns crashes;
     std::string checkpoint;
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -113,6 +113,12 @@
     state.jobs.erase(id);
 }
 
+void noteRun(TaskRow& task, int run)
+{
+    task.run = run;
+    task.highestRun = std::max(task.highestRun, run);
+}
+
 void setPhase(CellState& state, const TaskKey& key, TaskPhase phase, TimePoint now)
 {
     StepRow* step = findStep(state, key);
@@ -266,7 +272,7 @@
         failedRuns.insert(progress.failedRuns.begin(), progress.failedRuns.end());
         task->crashes.all.insert(progress.crashes.all.begin(), progress.crashes.all.end());
         task->crashes.sudden.insert(progress.crashes.sudden.begin(), progress.crashes.sudden.end());
-        task->run = progress.lastRun;
+        noteRun(*task, progress.lastRun);
         task->checkpoint = progress.checkpoint;
         job->hasStarted = true;
         if (progress.done)
@@ -288,6 +294,16 @@
         setPhase(state, member, TaskPhase::Done, now);
 }
 
+/// The task is done. Another run of it may go on, which would keep its room.
+static void finishTask(CellState& state, JobRow& job, const TaskKey& key, const Instant& now, CellActions& actions)
+{
+    markDone(state, job, key, now.steady);
+    auto it = state.upstreams.find(findTask(state, key)->upstream);
+    if (!specOf(job, key).gang && it != state.upstreams.end())
+        stopRun(state, it->second, formatTaskKey(key), now, actions);
+    endIfComplete(state, job, now, actions);
+}
+
 /// The failed runs of the task, or of its gang.
 static std::set<int>& failedRunsOf(CellState& state, const JobRow& job, const TaskKey& key)
 {
@@ -314,12 +330,25 @@
     return formatTaskKey(key) + " has used up its " + std::to_string(attemptsOf(state, job).value_or(0)) + " attempts, failed runs:" + runs + ", " + configuration;
 }
 
-/// True if the report is about the current run of the task, or a later one.
-static bool isEndOfLatest(const TaskRow& task, const RunEndReport& end)
+/// True while the run by which the task is known holds room on its upstream.
+static bool hasRun(const CellState& state, const TaskKey& key, const TaskRow& task)
 {
-    if (end.run != task.run || task.phase == TaskPhase::Waiting)
+    auto upstream = state.upstreams.find(task.upstream);
+    if (upstream == state.upstreams.end())
+        return false;
+    auto it = upstream->second.runs.find(formatTaskKey(key));
+    return it != upstream->second.runs.end() && it->second.run == task.run;
+}
+
+/// True if the report is about the current run of the task, or a later one. A task that still runs is not ended by
+/// another run of it, which an owner before this one has started beside it.
+static bool isEndOfLatest(const CellState& state, const TaskRow& task, const RunEndReport& end)
+{
+    if (task.phase == TaskPhase::Waiting)
         return end.run >= task.run;
-    return task.upstream == end.upstream;
+    if (end.run == task.run)
+        return task.upstream == end.upstream;
+    return end.run > task.run && !hasRun(state, end.task, task);
 }
 
 static void logRunEnd(const TaskRow& task, const RunEndReport& end, const Instant& now, CellActions& actions)
@@ -337,18 +366,23 @@
     job->hasStarted = true;
     markDirty(state, *job);
     logRunEnd(*task, end, now, actions);
-    bool isLatest = isEndOfLatest(*task, end);
+    bool isLatest = isEndOfLatest(state, *task, end);
+    bool isDone = end.how == RunEnd::Done && end.run >= task->run && !specOf(*job, end.task).isLongRunning;
+    task->highestRun = std::max(task->highestRun, end.run);
     // After a change of owner, the ends of several runs may be reported in any order.
     bool isUsedUp = end.how == RunEnd::Failed && countFailure(state, *job, end.task, end.run);
+    if (isDone && !isLatest) {
+        finishTask(state, *job, end.task, now, actions);
+        return;
+    }
     if (isLatest) {
         task->run = end.run;
         if (!end.checkpoint.empty())
             task->checkpoint = end.checkpoint;
         if (end.how == RunEnd::Failed)
             task->notBefore = now.steady + kPauseAfterFailure;
-        if (end.how == RunEnd::Done && !specOf(*job, end.task).isLongRunning) {
-            markDone(state, *job, end.task, now.steady);
-            endIfComplete(state, *job, now, actions);
+        if (isDone) {
+            finishTask(state, *job, end.task, now, actions);
             return;
         }
         setPhase(state, end.task, TaskPhase::Waiting, now.steady);
--- a/src/cell/Jobs.h
+++ b/src/cell/Jobs.h
@@ -19,6 +19,8 @@
 TaskRow* findTask(CellState&, const TaskKey&);
 const StepSpec& specOf(const JobRow&, const TaskKey&);
 
+/// Takes the run for the one by which the task is known.
+void noteRun(TaskRow&, int run);
 /// Moves a task to another phase and updates the counts of its step and job.
 void setPhase(CellState&, const TaskKey&, TaskPhase, TimePoint now);
 
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -162,7 +162,7 @@
             return false;
         }
         --it->fits;
-        RunRow run = makeRun(state, candidate, keyOf(candidate, indexes[i]), nextRunNumber(state, task.run), *it->upstream, now.steady);
+        RunRow run = makeRun(state, candidate, keyOf(candidate, indexes[i]), nextRunNumber(state, task.highestRun), *it->upstream, now.steady);
         startTask(state, candidate, run, *it->upstream, now, actions);
     }
     return true;
@@ -172,7 +172,7 @@
 {
     int run = 0;
     for (const TaskRow& task : row.tasks)
-        run = std::max(run, task.run);
+        run = std::max(run, task.highestRun);
     return run;
 }
 
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -161,7 +161,7 @@
     std::string name = formatTaskKey(run.task);
     TaskRow& task = *findTask(state, run.task);
     task.upstream = upstream.entry.id;
-    task.run = run.run;
+    noteRun(task, run.run);
     task.percent = 0;
     setPhase(state, run.task, TaskPhase::Starting, now.steady);
     run.startedAt = now.steady;
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -202,15 +202,17 @@
     acknowledgeStoredEnds(state, upstream, now);
 }
 
-/// True if a listed run must be stopped: its task has ended, or another run of the task may continue.
+/// True if a listed run must be stopped: its task has ended, or another run of the task may continue. A waiting task has no
+/// such run, whatever numbers its earlier ones had; the members of a gang have to be of one run.
 static bool isSuperseded(CellState& state, const TaskKey& key, const UpstreamRow& upstream, int run)
 {
     TaskRow* task = findTask(state, key);
     JobRow* job = findJob(state, key.job);
     if (!task || job->ended || task->phase == TaskPhase::Done)
         return true;
-    bool runsHere = task->phase == TaskPhase::Waiting || task->upstream == upstream.entry.id;
-    return !runsHere || run < task->run;
+    if (task->phase == TaskPhase::Waiting)
+        return specOf(*job, key).gang && run < task->highestRun;
+    return task->upstream != upstream.entry.id || run < task->run;
 }
 
 static void adoptListing(CellState& state, UpstreamRow& upstream, const RunListing& listing, const TaskKey& key, const Instant& now, CellActions& actions)
@@ -239,7 +241,7 @@
     }
     TaskRow& task = *findTask(state, key);
     task.upstream = upstream.entry.id;
-    task.run = listing.run;
+    noteRun(task, listing.run);
     job->hasStarted = true;
     setPhase(state, key, TaskPhase::Running, now.steady);
 }
--- a/tests/CellCutTest.cpp
+++ b/tests/CellCutTest.cpp
@@ -83,6 +83,82 @@
     }
 }
 
+/// A task that runs on one upstream, and another upstream that may run it a second time, as after issue 40.
+struct StrayRunFixture : CellFixture {
+    static constexpr int kStrayRun = 10001;
+
+    explicit StrayRunFixture(std::uint64_t seed)
+        : CellFixture(makeSettings(seed))
+    {
+        emulator.submit(jobId(1), makeJob(makeScript(12000), { makeStep(1, 1000) }), other());
+        BOOST_REQUIRE(waitFor(1, JobState::Running, std::chrono::seconds(3), owner()));
+        first = emulator.history().front();
+        elsewhere = first.upstream == "u0" ? "u1" : "u0";
+    }
+
+    static EmulatorSettings makeSettings(std::uint64_t seed)
+    {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        return settings;
+    }
+
+    void startStray(const TaskScript& script) { emulator.startStrayRun(elsewhere, first.task, kStrayRun, script); }
+
+    void killOwner()
+    {
+        std::size_t former = owner();
+        emulator.kill(former);
+        BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(6), [&] { return emulator.ownerOtherThan(former).has_value(); }));
+    }
+
+    /// The first run has to end as done, and no other may be started beside it.
+    void expectNoOtherRun()
+    {
+        BOOST_TEST(waitFor(1, JobState::Completed, std::chrono::seconds(30), owner()));
+        BOOST_TEST(startsOf(1) == 2);
+        BOOST_CHECK(emulator.history().front().how == RunEnd::Done);
+    }
+
+    RunRecord first;
+    std::string elsewhere;
+};
+
+// The end of a run with a higher number put its task back to waiting, and it was started again beside the run that went on.
+BOOST_AUTO_TEST_CASE(EndOfALaterRunStartsATaskThatStillRuns)
+{
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            StrayRunFixture fixture(seed);
+            fixture.startStray(makeScript(12000));
+            fixture.expectNoOtherRun();
+        }
+    }
+}
+
+// The same for a successor, which hears of the end before it hears of the run that goes on, or after.
+BOOST_AUTO_TEST_CASE(SuccessorStartsATaskThatStillRuns)
+{
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            StrayRunFixture fixture(seed);
+            fixture.startStray(makeScript(1, 1));
+            fixture.killOwner();
+            fixture.expectNoOtherRun();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(DoneEndOfALaterRunCounts)
+{
+    StrayRunFixture fixture(1);
+    fixture.startStray(makeScript(1));
+    BOOST_TEST(fixture.waitFor(1, JobState::Completed, std::chrono::seconds(3), fixture.owner()));
+    BOOST_TEST(fixture.startsOf(1) == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace crocuslever::cell::testing
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -121,6 +121,19 @@
     slot.incarnation = std::make_unique<EmulatedUpstream>(id, slot.entry.bornMs, m_history, m_failures);
 }
 
+void CellEmulator::startStrayRun(const std::string& upstream, const std::string& task, int run, const TaskScript& script)
+{
+    constexpr std::int64_t kLeaseMs = 5000;
+    EmulatedUpstream& incarnation = *m_upstreams.at(upstream).incarnation;
+    RunStart order;
+    order.task = task;
+    order.run = run;
+    order.payload = formatScript(script);
+    order.leaseUntilMs = incarnation.clockMs(now()) + kLeaseMs;
+    order.token = incarnation.token();
+    incarnation.start(order, now());
+}
+
 void CellEmulator::addOddEntry(const std::string& id)
 {
     DirectoryEntry entry = m_upstreams.at(id).entry;
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -87,6 +87,8 @@
     /// Cuts the instances and upstreams of a failure domain off from all others and from the store.
     void cutDomain(const std::string& domain, bool isCut);
     void crashUpstream(const std::string& id);
+    /// Starts a run of the task that the present owner has not ordered, as an earlier one may have.
+    void startStrayRun(const std::string& upstream, const std::string& task, int run, const TaskScript&);
     /// Adds an entry that names no upstream, at the address of one and with a later start.
     void addOddEntry(const std::string& id);
     /// The upstream's entry shows the capacity from now on; the upstream itself starts whatever it is told to.
--- a/tests/emulator/EmulatedUpstream.h
+++ b/tests/emulator/EmulatedUpstream.h
@@ -51,6 +51,7 @@
     void crash(TimePoint now);
 
     bool hasEnds() const { return !m_ends.empty(); }
+    std::int64_t token() const { return m_token; }
     std::int64_t bornMs() const { return m_bornMs; }
     std::int64_t clockMs(TimePoint now) const { return toMilliseconds(now.time_since_epoch()) - kClockOffsetMs; }
     std::size_t running() const { return m_runs.size(); }
