Check in the soak for starts after an end that was taken note of

The soak judged overlapping runs and starts after the job was shown as completed only.

Change: findBrokenRules() takes the ends that workers were told to forget, and reports each start after such an end, as the rule TWICE says: taken note of then or later, unless the worker's lease was over between the two. The other checks are as before.

--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -26,7 +26,7 @@
     return crash == it->second.end() ? end : std::min(end, *crash);
 }
 
-static std::string jobOf(const RunNote& run) { return run.task.substr(0, run.task.find('.')); }
+static std::string jobOf(const std::string& task) { return task.substr(0, task.find('.')); }
 
 static void checkTwice(const JobNote& job, const std::vector<RunNote>& runs, const CrashTimes& crashes, std::vector<std::string>& broken)
 {
@@ -41,6 +41,28 @@
     }
 }
 
+/// When the run ended that the worker was told to forget; `kNever`: its end doesn't count, as the lease was over in between.
+static std::int64_t endOf(const Acknowledgement& end, const std::vector<RunNote>& runs)
+{
+    auto isIt = [&end](const RunNote& run) { return run.task == end.task && run.run == end.run && run.worker == end.worker && run.how == end.how; };
+    auto it = std::find_if(runs.begin(), runs.end(), isIt);
+    return it == runs.end() || end.lapsedUntil > it->endedAt ? kNever : it->endedAt;
+}
+
+/// No task starts after an end as done that is taken note of, then or later.
+static void checkAcknowledged(const std::vector<RunNote>& runs, const std::vector<Acknowledgement>& ends, std::vector<std::string>& broken)
+{
+    for (const Acknowledgement& end : ends) {
+        if (end.how != "done")
+            continue;
+        std::int64_t endedAt = endOf(end, runs);
+        for (const RunNote& run : runs) {
+            if (run.task == end.task && run.startedAt > endedAt)
+                broken.push_back("TWICE: started after run " + std::to_string(end.run) + " had ended as done on " + end.worker + " at " + std::to_string(endedAt) + " ms, acknowledged at " + std::to_string(end.at) + " ms: " + describe(run));
+        }
+    }
+}
+
 static void checkLost(const JobNote& job, const std::vector<RunNote>& runs, std::vector<std::string>& broken)
 {
     std::map<std::string, int> failures;
@@ -57,16 +79,20 @@
         broken.push_back("BUDGET: " + job.id + " has " + std::to_string(most) + " failed runs of a task, " + std::to_string(job.attempts) + " attempts");
 }
 
-std::vector<std::string> findBrokenRules(const std::vector<JobNote>& jobs, const std::vector<RunNote>& runs, const CrashTimes& crashes)
+std::vector<std::string> findBrokenRules(const std::vector<JobNote>& jobs, const std::vector<RunNote>& runs, const CrashTimes& crashes, const std::vector<Acknowledgement>& ends)
 {
     std::map<std::string, std::vector<RunNote>> runsOfJob;
     for (const RunNote& run : runs)
-        runsOfJob[jobOf(run)].push_back(run);
+        runsOfJob[jobOf(run.task)].push_back(run);
+    std::map<std::string, std::vector<Acknowledgement>> endsOfJob;
+    for (const Acknowledgement& end : ends)
+        endsOfJob[jobOf(end.task)].push_back(end);
     std::vector<std::string> broken;
     for (const JobNote& job : jobs) {
         if (!job.isAccepted)
             continue;
         checkTwice(job, runsOfJob[job.id], crashes, broken);
+        checkAcknowledged(runsOfJob[job.id], endsOfJob[job.id], broken);
         checkLost(job, runsOfJob[job.id], broken);
     }
     return broken;
--- a/tests/soak/SoakChecks.h
+++ b/tests/soak/SoakChecks.h
@@ -18,10 +18,20 @@
     std::string lastState;
 };
 
+/// An end of a run that its worker was told to forget.
+struct Acknowledgement {
+    std::string task;
+    int run { 0 };
+    std::string worker;
+    std::string how;
+    std::int64_t at { 0 }; ///< Milliseconds since the start of the program.
+    std::int64_t lapsedUntil { 0 }; ///< The worker's lease was over for the last time until then, up to `at`.
+};
+
 /// When each worker crashed, in order.
 using CrashTimes = std::map<std::string, std::vector<std::int64_t>>;
 
 /// One line for each broken rule; the rules are those of the users' pages.
-std::vector<std::string> findBrokenRules(const std::vector<JobNote>&, const std::vector<standin::RunNote>&, const CrashTimes&);
+std::vector<std::string> findBrokenRules(const std::vector<JobNote>&, const std::vector<standin::RunNote>&, const CrashTimes&, const std::vector<Acknowledgement>& = {});
 
 } // namespace crocuslever::soak
