--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -153,6 +153,16 @@
         m_cutDomains.erase(domain);
 }
 
+void CellEmulator::muteDomain(const std::string& domain, bool isMute)
+{
+    if (isMute)
+        m_muteDomains.insert(domain);
+    else
+        m_muteDomains.erase(domain);
+}
+
+void CellEmulator::freeze(std::size_t n, Duration duration) { m_instances[n].frozenUntil = now() + duration; }
+
 void CellEmulator::evacuate(const std::string& domain, bool isEvacuated)
 {
     if (isEvacuated)
@@ -213,6 +223,10 @@
     InstanceSlot& slot = m_instances[caller.instance];
     if (!slot.state || slot.incarnations != caller.incarnation)
         return;
+    if (now() < slot.frozenUntil) {
+        deliver(caller, slot.frozenUntil - now(), event);
+        return;
+    }
     CellActions actions;
     handleEvent(*slot.state, event, m_queue.now(), actions);
     tick(*slot.state, m_queue.now(), actions);
@@ -225,7 +239,8 @@
     if (!slot.state || slot.incarnations != incarnation)
         return;
     CellActions actions;
-    tick(*slot.state, m_queue.now(), actions);
+    if (now() >= slot.frozenUntil)
+        tick(*slot.state, m_queue.now(), actions);
     dispatch({ n, incarnation }, actions);
     m_queue.after(kTickInterval, [this, n, incarnation] { tickInstance(n, incarnation); });
 }
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -86,6 +86,10 @@
     void cutUpstream(const std::string& id, bool isCut) { m_upstreams.at(id).isCut = isCut; }
     /// Cuts the instances and upstreams of a failure domain off from all others and from the store.
     void cutDomain(const std::string& domain, bool isCut);
+    /// Cuts off what the failure domain sends, to all others and to the store: it hears, but isn't heard.
+    void muteDomain(const std::string& domain, bool isMute);
+    /// The instance does nothing for the time; what reaches it meanwhile is handled afterwards, all at once.
+    void freeze(std::size_t instance, Duration);
     void crashUpstream(const std::string& id);
     /// Starts a run of the task that the present owner has not ordered, as an earlier one may have.
     void startStrayRun(const std::string& upstream, const std::string& task, int run, const TaskScript&);
@@ -124,6 +128,7 @@
         bool isCutFromStore { false };
         bool isStoreBlackholed { false };
         bool hasTick { false };
+        TimePoint frozenUntil;
     };
     /// Instance and upstream id.
     using Connection = std::pair<std::size_t, std::string>;
@@ -149,9 +154,9 @@
     void dispatch(const Caller&, const CellActions&);
     Duration latency(std::int64_t leastMs, std::int64_t mostMs);
     bool chance(double share);
-    bool isStoreSilent(std::size_t instance) const { return m_instances[instance].isStoreBlackholed || m_cutDomains.count(domainOf(instance)) > 0; }
+    bool isStoreSilent(std::size_t instance) const { return m_instances[instance].isStoreBlackholed || m_cutDomains.count(domainOf(instance)) > 0 || m_muteDomains.count(domainOf(instance)) > 0; }
     bool isStoreUnavailable(std::size_t instance) const { return m_storeDown || m_instances[instance].isCutFromStore || isStoreSilent(instance); }
-    bool isPathCut(const std::string& from, const std::string& to) const { return from != to && (m_cutDomains.count(from) > 0 || m_cutDomains.count(to) > 0); }
+    bool isPathCut(const std::string& from, const std::string& to) const { return from != to && (m_cutDomains.count(from) > 0 || m_cutDomains.count(to) > 0 || m_muteDomains.count(from) > 0); }
     bool isOutOfReach(std::size_t instance, const UpstreamSlot& upstream) const { return upstream.isCut || isPathCut(domainOf(instance), upstream.entry.domain); }
     void failStoreCall(const Caller&, Ticket, StoreStatus);
 
@@ -185,6 +190,7 @@
     crocuslever::testing::StoreModel m_store;
     bool m_storeDown { false };
     std::set<std::string> m_cutDomains;
+    std::set<std::string> m_muteDomains;
     bool m_isDirectoryUnreadable { false };
     EmulatedDeclarations m_declarations;
     bool m_areWatchesDeaf { false };
