Start a task that was lost with its upstream only if no successor can have seen it end

Change: a task whose run was lost with its upstream (restart, or a later upstream at its address) waits until the store has confirmed the ownership after that moment, or is believed to be away from the whole fleet. The cost: up to one listing, 0.3 s, after a crash.

--- a/src/cell/Candidate.h
+++ b/src/cell/Candidate.h
@@ -37,6 +37,6 @@
 StepRow& rowOf(const Candidate&);
 const StepSpec& specOf(const Candidate&);
 /// Indexes of the step's tasks that may start now.
-std::vector<int> waitingTasks(const Candidate&, TimePoint now);
+std::vector<int> waitingTasks(const CellState&, const Candidate&, TimePoint now);
 
 } // namespace crocuslever::cell
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -62,6 +62,8 @@
     int preemptions { 0 }; ///< Number of times it was preempted.
     TimePoint since; ///< Start of the current phase.
     TimePoint notBefore; ///< Backoff: earliest time of the next placement.
+    /// When its run was taken for lost with its upstream. A successor may have seen that run end.
+    std::optional<TimePoint> lostAt;
 };
 
 /// Identifies an incarnation of an upstream: the time between two of its restarts. Unique within this process.
--- a/src/cell/UpstreamDirectory.cpp
+++ b/src/cell/UpstreamDirectory.cpp
@@ -49,6 +49,15 @@
     }
 }
 
+/// Ends a run that was lost with its upstream.
+static void loseRun(CellState& state, UpstreamRow& upstream, const std::string& name, const Instant& now, CellActions& actions)
+{
+    TaskRow* task = findTask(state, upstream.runs.at(name).task);
+    if (task)
+        task->lostAt = now.steady;
+    finishRun(state, upstream, name, RunEnd::LeaseExpired, "", now, actions);
+}
+
 /// Ends all runs of an upstream at whose address a later one is listed. Orders that name the earlier one are refused there.
 static void handleUpstreamReplaced(CellState& state, UpstreamRow& upstream, const DirectoryEntry& successor, const Instant& now, CellActions& actions)
 {
@@ -59,7 +68,7 @@
     for (const auto& [name, run] : upstream.runs)
         names.push_back(name);
     for (const std::string& name : names)
-        finishRun(state, upstream, name, RunEnd::LeaseExpired, "", now, actions);
+        loseRun(state, upstream, name, now, actions);
 }
 
 // The new incarnation knows nothing of the runs of the previous one. It may still execute an order that was sent to the previous one.
@@ -77,7 +86,7 @@
         (mayBeNew ? uncertain : gone).push_back(name);
     }
     for (const std::string& name : gone)
-        finishRun(state, upstream, name, RunEnd::LeaseExpired, "", now, actions);
+        loseRun(state, upstream, name, now, actions);
     // The start order may have reached the new incarnation before we learned of the restart.
     for (const std::string& name : uncertain)
         stopRun(state, upstream, name, now, actions);
