--- a/src/cell/Declarations.cpp
+++ b/src/cell/Declarations.cpp
@@ -179,7 +179,7 @@
     domainOfPeer.erase(state.settings.address);
     for (const std::string& seed : state.settings.seeds) {
         if (domainOfPeer.empty() && seed != state.settings.address)
-            domainOfPeer[seed];
+            domainOfPeer.emplace(seed, std::string());
     }
     std::map<std::string, PeerOutlook>& outlooks = state.declarations.peers;
     std::map<std::string, TimePoint> domainAskedAt;
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -120,6 +120,9 @@
     int transfersBetweenInstances() const { return m_transfersBetweenInstances; }
 
 private:
+    static constexpr Duration kCallTimeout = std::chrono::milliseconds(500); ///< Unanswered calls fail after it.
+    static constexpr Duration kPollInterval = std::chrono::milliseconds(2); ///< For emulated long polls.
+
     struct InstanceSlot {
         std::unique_ptr<CellState> state; ///< Null: not running.
         std::string domain;
