--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -184,7 +184,7 @@
         if (call.of == Listing::OwnKeys && call.prefix == kCellPrefix) {
             for (int n = 0; n < instances; ++n) {
                 std::string name = "i" + std::to_string(n);
-                reply.entries.push_back({ kInstancePrefix + name, encodeInstance({ name + ":1", name + "-1", 0 }), 1 });
+                reply.entries.push_back({ kInstancePrefix + name, encodeInstance({ name + ":1", name + "-1", 0, "" }), 1 });
             }
         }
         answerStore(call.ticket, reply);
