--- a/tests/CellCutTest.cpp
+++ b/tests/CellCutTest.cpp
@@ -180,8 +180,9 @@
 {
     CellFixture cell(settings);
     submitJobs(cell);
+    std::mt19937_64 random(settings.seed);
     for (int n = 0; n < 3; ++n) {
-        std::int64_t ms = 3000 + static_cast<std::int64_t>((settings.seed * 977 + n * 1811) % 5001);
+        std::int64_t ms = 3000 + static_cast<std::int64_t>(random() % 5000);
         cell.emulator.freeze(cell.owner(), fromMilliseconds(ms));
         cell.emulator.runFor(fromMilliseconds(ms + 1500));
     }
