Look once a placement pass whether the store is away from the fleet

From reading the diff: asked for it again for each task that was lost with its upstream, which looks at all instances, while the store was out of reach; an owner of 1,100 upstreams that loses a domain has thousands of such tasks. The pass holds the time now up to which losses are known. No decision changes but for a task lost in the same moment. Not measured; suites Cell* and DeclarationsTest hold.

--- a/src/cell/Candidate.cpp
+++ b/src/cell/Candidate.cpp
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 
-#include "src/cell/Declarations.h"
 #include "src/cell/Jobs.h"
-#include "src/cell/Ownership.h"
 #include "src/cell/UnseenUse.h"
 
 namespace crocuslever::cell {
@@ -63,18 +61,14 @@
     return all;
 }
 
-/// True unless a successor that this owner has not heard of may have seen the end of the run that was lost.
-static bool isLossCertain(const CellState& state, const TaskRow& task, TimePoint now)
-{
-    return !task.lostAt || wasOwnerAt(state, *task.lostAt) || isStoreAwayFromFleet(state, now);
-}
-
-std::vector<int> waitingTasks(const CellState& state, const Candidate& candidate, TimePoint now)
+std::vector<int> waitingTasks(const Candidate& candidate, TimePoint lossesKnownUntil, TimePoint now)
 {
     std::vector<int> indexes;
     const StepRow& row = rowOf(candidate);
     for (std::size_t i = 0; i < row.tasks.size(); ++i) {
-        if (row.tasks[i].phase == TaskPhase::Waiting && now >= row.tasks[i].notBefore && isLossCertain(state, row.tasks[i], now))
+        const TaskRow& task = row.tasks[i];
+        bool isLossKnown = !task.lostAt || *task.lostAt < lossesKnownUntil;
+        if (task.phase == TaskPhase::Waiting && now >= task.notBefore && isLossKnown)
             indexes.push_back(static_cast<int>(i));
     }
     return indexes;
--- a/src/cell/Candidate.h
+++ b/src/cell/Candidate.h
@@ -36,7 +36,8 @@
 
 StepRow& rowOf(const Candidate&);
 const StepSpec& specOf(const Candidate&);
-/// Indexes of the step's tasks that may start now.
-std::vector<int> waitingTasks(const CellState&, const Candidate&, TimePoint now);
+/// Indexes of the step's tasks that may start now. A task whose run was lost with its upstream waits unless that was
+/// before `lossesKnownUntil`: a successor may have seen the run end.
+std::vector<int> waitingTasks(const Candidate&, TimePoint lossesKnownUntil, TimePoint now);
 
 } // namespace crocuslever::cell
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -145,7 +145,7 @@
 /// Starts as many tasks as there is room for. Returns false if tasks that the team's limit allows are left.
 static bool placeSingles(CellState& state, const Candidate& candidate, PlacementPass& pass, const Instant& now, CellActions& actions)
 {
-    std::vector<int> indexes = waitingTasks(state, candidate, now.steady);
+    std::vector<int> indexes = waitingTasks(candidate, pass.lossesKnownUntil, now.steady);
     int count = static_cast<int>(indexes.size());
     int allowed = countAllowed(state, candidate, count, pass.reservations, now, actions);
     if (allowed == 0)
@@ -191,7 +191,7 @@
 {
     StepRow& row = rowOf(candidate);
     int count = static_cast<int>(row.tasks.size());
-    std::vector<int> indexes = waitingTasks(state, candidate, now.steady);
+    std::vector<int> indexes = waitingTasks(candidate, pass.lossesKnownUntil, now.steady);
     // A member of an earlier run has not ended yet, or is in backoff.
     if (static_cast<int>(indexes.size()) < count)
         return true;
@@ -306,6 +306,8 @@
     updateUnseenUse(state, now.wallMs);
     std::vector<Candidate> candidates = collectCandidates(state, now);
     PlacementPass pass;
+    // While the store is away from the fleet there can't be a successor.
+    pass.lossesKnownUntil = isStoreAwayFromFleet(state, now.steady) ? now.steady : state.membership.listing.at;
     if (!candidates.empty())
         findOpenUpstreams(state, now.steady, pass);
     LargestRoom largest = findLargestRoom(pass.open);
--- a/src/cell/PlacementPass.h
+++ b/src/cell/PlacementPass.h
@@ -18,6 +18,7 @@
     std::vector<std::pair<UpstreamIncarnation, UpstreamRow*>> byIncarnation; ///< The same upstreams, sorted.
     ReservedRoom reservations;
     std::optional<std::vector<Adviser>> advisers; ///< Set when the first question is considered.
+    TimePoint lossesKnownUntil; ///< No successor has seen the end of a run that was lost before this time.
     std::set<int> saturated; ///< Priorities for which all instances are at their limit of questions.
 };
 
