--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/cell/Declarations.h"
 #include "src/cell/Keys.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/RecordCodec.h"
@@ -51,7 +52,7 @@
     membership.nextRenewal = now.steady + kRetryInterval;
     if (reply.status != StoreStatus::NotFound)
         return;
-    logMessage(actions, LogLevel::Warning, "membership", "", "", "instance lease lost, requesting a new one; lost lease: " + std::to_string(membership.lease));
+    logMessage(actions, LogLevel::Warning, "membership", "", "", "instance lease lost, requesting a new one; lost lease: " + std::to_string(membership.lease) + ", last renewed " + describeAge(membership.renewal, now.steady) + ", this renewal was sent " + std::to_string(toMilliseconds(now.steady - sentAt)) + " ms ago");
     membership.lease = 0;
     membership.registered = false;
     membership.nextRenewal = now.steady;
--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -78,8 +78,10 @@
 static void handleAnswer(CellState& state, const wire::PeerMessage& answer, const Instant& now, CellActions& actions)
 {
     auto it = state.peerCalls.find(answer.call());
-    if (it == state.peerCalls.end())
+    if (it == state.peerCalls.end()) {
+        state.counters.add("peer_late_answers_total");
         return;
+    }
     PeerContinuation then = std::move(it->second.then);
     state.peerCalls.erase(it);
     then(state, &answer, now, actions);
@@ -139,6 +141,7 @@
         state.peerDeadlines.erase(state.peerDeadlines.begin());
         if (it == state.peerCalls.end())
             continue;
+        state.counters.add("peer_timeouts_total");
         PeerContinuation then = std::move(it->second.then);
         state.peerCalls.erase(it);
         then(state, nullptr, now, actions);
--- a/src/daemon/LoopLoad.cpp
+++ b/src/daemon/LoopLoad.cpp
@@ -12,9 +12,12 @@
     load.markedAt = now;
 }
 
-void recordTimer(LoopLoad& load, TimePoint due, TimePoint now)
+void recordTurn(LoopLoad& load, TimePoint due, TimePoint now)
 {
-    load.longestDelay = std::max(load.longestDelay, now - due);
+    Duration delay = now - due;
+    ++load.turns;
+    load.totalDelay += delay;
+    load.longestDelay = std::max(load.longestDelay, delay);
 }
 
 static std::vector<std::pair<Duration, std::string>> spentSinceSummary(const LoopLoad& load)
@@ -35,10 +38,13 @@
         if (toMilliseconds(spent) > 0)
             text += " " + part + " " + std::to_string(toMilliseconds(spent)) + ",";
     }
-    text += " timer up to " + std::to_string(toMilliseconds(load.longestDelay)) + " ms late";
+    Duration meanDelay = load.totalDelay / std::max(1, load.turns);
+    text += " " + std::to_string(load.turns) + " turns, up to " + std::to_string(toMilliseconds(load.longestDelay)) + " ms late, " + std::to_string(toMilliseconds(meanDelay)) + " on average";
     load.summarized = load.spent;
     load.summarizedAt = now;
+    load.turns = 0;
     load.longestDelay = Duration(0);
+    load.totalDelay = Duration(0);
     return text;
 }
 
