--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -1,5 +1,6 @@
 #include "src/cell/CellState.h"
 
+#include "src/cell/Admission.h"
 #include "src/cell/Advice.h"
 #include "src/cell/Commits.h"
 #include "src/cell/Declarations.h"
@@ -91,6 +92,7 @@
         { "peer_calls", tickPeerCalls },
         { "upstreams", tickUpstreams },
         { "orders", tickOrders },
+        { "admission", tickAdmission },
         { "placement", tickPlacement },
         { "commits", tickCommits },
         { "entry", tickEntry },
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -13,10 +13,12 @@
 
 #include "crocuslever/Core.h"
 #include "crocuslever/Counters.h"
+#include "src/cell/AdmissionLimit.h"
 #include "src/cell/CellSettings.h"
 #include "src/cell/Confirmation.h"
 #include "src/cell/FleetPolicy.h"
 #include "src/cell/JobSpec.h"
+#include "src/cell/LoopDelay.h"
 #include "src/cell/Messages.h"
 
 namespace crocuslever::cellwire {
@@ -202,7 +204,7 @@
 struct Membership {
     LeaseId lease { 0 };
     bool granting { false };
-    bool renewing { false };
+    int renewals { 0 }; ///< In flight.
     bool registering { false };
     bool registered { false };
     Confirmation renewal; ///< Of the lease.
@@ -226,6 +228,7 @@
     std::string ownerAddress; ///< Empty: the cell has no owner.
     std::int64_t ownerToken { 0 };
     StoreRevision ownerRevision { 0 }; ///< Revision of the owner's record; 0: there is none.
+    AdmissionLimit admission; ///< As the latest owner says; outlasts it.
     std::optional<TimePoint> vacantSince; ///< When the cell lost its owner; unset: it has one.
     /// Another incarnation runs under the owner's name, though the owner's lease has not expired.
     bool isOwnerRestarted { false };
@@ -247,6 +250,14 @@
     Recovering, ///< Reads the cell's records from the store.
     Deciding };
 
+/// How the owner adjusts the admission of jobs.
+struct AdmissionControl {
+    TimePoint adjustedAt;
+    std::int64_t startsBefore { 0 }; ///< Number of starts at that time.
+    double startRate { 0.0 }; ///< Starts per second, smoothed.
+    AdmissionLimit stored; ///< As the owner key says it.
+};
+
 /// State that only the owner of the cell has.
 struct Ownership {
     OwnerPhase phase { OwnerPhase::None };
@@ -257,6 +268,7 @@
     bool isWritingOwnerKey { false }; ///< The owner key is being written again.
     TimePoint nextOwnerKey; ///< Earliest time of the next such write.
     bool isSettled { false }; ///< The owner key says that owners before this one send no orders any more.
+    AdmissionControl admission;
     std::string predecessor; ///< Name of the previous owner; empty: unknown.
     std::string predecessorIncarnation;
     TimePoint predecessorSince; ///< When this instance first saw the previous owner's token.
@@ -449,6 +461,8 @@
     bool stopping { false }; ///< A shutdown was requested.
     bool stopped { false };
     TimePoint stoppingSince;
+    LoopDelay loop;
+    bool hasUnreadFrames { false }; ///< Frames of peers have arrived that were not handled yet.
     Counters counters;
 };
 
@@ -460,6 +474,8 @@
     void (*tick)(CellState&, const Instant& now, CellActions&);
 };
 
+/// Sends what must not wait for the end of a long turn: the renewal of the instance's lease.
+void tickLease(CellState&, const Instant& now, CellActions&);
 /// All components, in the order in which tick() runs them.
 const std::vector<System>& systems();
 /// Runs the periodic work of all components. Called after events and at least every few milliseconds.
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cell.pb.h"
+#include "src/cell/Admission.h"
 #include "src/cell/Declarations.h"
 #include "src/cell/JobQueue.h"
 #include "src/cell/Jobs.h"
@@ -100,6 +101,13 @@
     return answer;
 }
 
+static EntryReply makeOverloaded(CellState& state)
+{
+    EntryReply answer = makeReply(EntryOutcome::Overloaded, "the cell has more work than it can serve in time");
+    answer.retryAfter = retryAfterOverload(state);
+    return answer;
+}
+
 /// Ends a call whose store or owner calls failed: refused, or "unknown" if it may have taken effect.
 static void failCall(CellState& state, const EntryRow& row, const std::string& why, CellActions& actions)
 {
@@ -235,8 +243,9 @@
     EntryRow* row = findEntry(state, id);
     if (!row)
         return;
+    bool isSubmission = row->call.verb == Verb::Submit;
     if (read.status == StoreStatus::NotFound) {
-        reply(state, id, makeReply(EntryOutcome::Gone), actions);
+        reply(state, id, isSubmission ? makeOverloaded(state) : makeReply(EntryOutcome::Gone), actions);
         return;
     }
     std::optional<JobState> ended = read.entries.empty() ? std::nullopt : parseEndedState(read.entries.front().value);
@@ -244,7 +253,9 @@
         retryLater(*row, now);
         return;
     }
-    if (row->call.verb == Verb::Cancel)
+    if (isSubmission)
+        reply(state, id, makeReply(EntryOutcome::Accepted), actions);
+    else if (row->call.verb == Verb::Cancel)
         reply(state, id, makeReply(EntryOutcome::Cancelled), actions);
     else
         showState(state, *row, *ended, "the store", actions);
@@ -284,6 +295,14 @@
     readJob(state, row, found, actions);
 }
 
+/// Turns the job away unless it is stored: an earlier call of the caller may have had no answer.
+static void turnAway(CellState& state, EntryRow& row, CellActions& actions)
+{
+    CallId id = row.call.id;
+    auto found = [id](CellState& s, const StoreReply&, const Instant&, CellActions& out) { reply(s, id, makeReply(EntryOutcome::Accepted), out); };
+    readJob(state, row, found, actions);
+}
+
 static bool mayAskOwner(const CellState& state, TimePoint now)
 {
     const Membership& membership = state.membership;
@@ -416,7 +435,11 @@
 static void serve(CellState& state, EntryRow& row, const Instant& now, CellActions& actions)
 {
     row.retrying = false;
-    if (row.call.verb == Verb::Submit)
+    bool isUndecided = row.call.verb == Verb::Submit && !row.maybeStored;
+    const Route* route = isUndecided ? findRouteByName(*state.configuration.value, row.route) : nullptr;
+    if (route && isTurnedAway(state, *route, row.jobId))
+        turnAway(state, row, actions);
+    else if (row.call.verb == Verb::Submit)
         storeJob(state, row, now, actions);
     else if (row.call.verb == Verb::Cancel)
         cancel(state, row, actions);
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -6,11 +6,14 @@
 #include "src/cell/Keys.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/RecordCodec.h"
+#include "src/cell/Relay.h"
 #include "src/cell/StoreCalls.h"
 
 namespace crocuslever::cell {
 
+/// Between the sendings of two renewals. A busy instance reads the answers late, which must not delay the next one.
 static constexpr Duration kRenewalInterval = std::chrono::milliseconds(350);
+static constexpr int kMaxRenewalsInFlight = 3;
 static constexpr Duration kListInterval = std::chrono::milliseconds(300);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(150);
 
@@ -37,41 +40,62 @@
     sendChange(state, std::move(command), handleRegistered, actions);
 }
 
-static void handleLease(CellState& state, const StoreReply& reply, TimePoint sentAt, const Instant& now, CellActions& actions)
+static void loseLease(CellState& state, TimePoint sentAt, const Instant& now, CellActions& actions)
 {
     Membership& membership = state.membership;
-    membership.granting = false;
-    membership.renewing = false;
-    if (reply.status == StoreStatus::Ok) {
-        if (reply.lease != 0)
-            membership.lease = reply.lease;
-        membership.renewal = confirmedAgain(membership.renewal, sentAt);
-        membership.nextRenewal = now.steady + kRenewalInterval;
-        return;
-    }
-    membership.nextRenewal = now.steady + kRetryInterval;
-    if (reply.status != StoreStatus::NotFound)
-        return;
     logMessage(actions, LogLevel::Warning, "membership", "", "", "instance lease lost, requesting a new one; lost lease: " + std::to_string(membership.lease) + ", last renewed " + describeAge(membership.renewal, now.steady) + ", this renewal was sent " + std::to_string(toMilliseconds(now.steady - sentAt)) + " ms ago");
     membership.lease = 0;
     membership.registered = false;
     membership.nextRenewal = now.steady;
 }
 
-static void keepLease(CellState& state, const Instant& now, CellActions& actions)
+static void handleRenewal(CellState& state, LeaseId lease, const StoreReply& reply, TimePoint sentAt, const Instant& now, CellActions& actions)
 {
     Membership& membership = state.membership;
-    if (membership.granting || membership.renewing || now.steady < membership.nextRenewal)
+    --membership.renewals;
+    if (lease != membership.lease)
+        return;
+    if (reply.status == StoreStatus::NotFound)
+        loseLease(state, sentAt, now, actions);
+    else if (reply.status == StoreStatus::Ok)
+        membership.renewal = confirmedAgain(membership.renewal, sentAt);
+    else
+        membership.nextRenewal = std::min(membership.nextRenewal, now.steady + kRetryInterval);
+}
+
+static void handleGrant(CellState& state, const StoreReply& reply, TimePoint sentAt, const Instant& now)
+{
+    Membership& membership = state.membership;
+    membership.granting = false;
+    bool isGranted = reply.status == StoreStatus::Ok && reply.lease != 0;
+    membership.nextRenewal = now.steady + (isGranted ? kRenewalInterval : kRetryInterval);
+    if (!isGranted)
+        return;
+    membership.lease = reply.lease;
+    membership.renewal = confirmedAgain(membership.renewal, sentAt);
+}
+
+static void requestLease(CellState& state, TimePoint now, CellActions& actions)
+{
+    state.membership.granting = true;
+    auto then = [now](CellState& s, const StoreReply& reply, const Instant& at, CellActions&) { handleGrant(s, reply, now, at); };
+    grantLease(state, state.settings.instanceLease, then, actions);
+}
+
+static void keepLease(CellState& state, TimePoint now, CellActions& actions)
+{
+    Membership& membership = state.membership;
+    if (membership.granting || membership.renewals >= kMaxRenewalsInFlight || now < membership.nextRenewal)
         return;
-    TimePoint sentAt = now.steady;
-    auto then = [sentAt](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) { handleLease(s, reply, sentAt, at, out); };
     if (membership.lease == 0) {
-        membership.granting = true;
-        grantLease(state, state.settings.instanceLease, then, actions);
-    } else {
-        membership.renewing = true;
-        renewLease(state, membership.lease, then, actions);
+        requestLease(state, now, actions);
+        return;
     }
+    ++membership.renewals;
+    membership.nextRenewal = now + kRenewalInterval;
+    LeaseId lease = membership.lease;
+    auto then = [lease, now](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) { handleRenewal(s, lease, reply, now, at, out); };
+    renewLease(state, lease, then, actions);
 }
 
 void recordEpoch(Membership& membership, const StoreEntry& entry)
@@ -150,11 +174,19 @@
     listKeys(state, kCellPrefix, then, actions);
 }
 
+void tickLease(CellState& state, const Instant& now, CellActions& actions)
+{
+    if (state.stopped)
+        return;
+    keepLease(state, now.steady, actions);
+    tickRelay(state, now, actions);
+}
+
 void tickMembership(CellState& state, const Instant& now, CellActions& actions)
 {
     if (state.stopped)
         return;
-    keepLease(state, now, actions);
+    keepLease(state, now.steady, actions);
     Membership& membership = state.membership;
     if (membership.lease != 0 && !membership.registered && !membership.registering && now.steady >= membership.nextRenewal - kRenewalInterval)
         registerInstance(state, actions);
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -78,6 +78,7 @@
     membership.ownerInstance = state.settings.instance;
     membership.ownerAddress = state.settings.address;
     membership.ownerToken = token;
+    ownership.admission.stored = membership.admission;
     logMessage(actions, LogLevel::Info, "ownership", "", "", "acquired the cell with token " + std::to_string(token) + ", previous owner: " + (ownership.predecessor.empty() ? "unknown" : ownership.predecessor));
     beginRecovery(state, now, actions);
 }
@@ -113,6 +114,7 @@
         ownership.predecessorIncarnation = owner.incarnation;
         ownership.isPredecessorSettled = owner.isSettled;
         membership.ownerToken = owner.token;
+        membership.admission = owner.admission;
     }
     membership.ownerInstance = owner.instance;
     membership.ownerAddress = owner.address;
@@ -173,7 +175,7 @@
 
 static StorePut makeOwnerPut(const CellState& state, std::int64_t token, bool isSettled)
 {
-    OwnerRecord record { state.settings.instance, state.settings.address, state.settings.incarnation, token, 0, isSettled };
+    OwnerRecord record { state.settings.instance, state.settings.address, state.settings.incarnation, token, 0, isSettled, state.membership.admission };
     return { kOwnerKey, encodeOwner(record), state.membership.lease };
 }
 
@@ -219,24 +221,27 @@
     bool settled = isSettled(state, now.steady);
     command.puts = { makeOwnerPut(state, ownership.token, settled) };
     std::int64_t token = ownership.token;
-    auto then = [token, settled](CellState& s, const StoreReply& reply, const Instant&, CellActions& out) {
+    AdmissionLimit admission = state.membership.admission;
+    auto then = [token, settled, admission](CellState& s, const StoreReply& reply, const Instant&, CellActions& out) {
         if (!isOwner(s) || s.ownership.token != token)
             return;
         s.ownership.isWritingOwnerKey = false;
         if (reply.status != StoreStatus::Ok)
             return;
         s.ownership.isSettled = settled;
+        s.ownership.admission.stored = admission;
         logMessage(out, LogLevel::Info, "ownership", "", "", "wrote the owner key again with token " + std::to_string(token) + (settled ? "; earlier owners send no orders any more" : ""));
     };
     sendChange(state, std::move(command), then, actions);
 }
 
-/// Writes the owner key under a new lease after the old one has expired, and once more when no earlier owner can send
-/// orders any longer.
+/// Writes the owner key under a new lease after the old one has expired, once more when no earlier owner can send
+/// orders any longer, and whenever the cell turns more or less away.
 static void keepOwnerKey(CellState& state, const Instant& now, CellActions& actions)
 {
     const Ownership& ownership = state.ownership;
-    bool isDue = isOwnerKeyMissing(state) || (!ownership.isSettled && isSettled(state, now.steady));
+    bool hasNewLimit = ownership.admission.stored != state.membership.admission;
+    bool isDue = isOwnerKeyMissing(state) || hasNewLimit || (!ownership.isSettled && isSettled(state, now.steady));
     bool isAble = state.membership.registered && !ownership.isWritingOwnerKey && now.steady >= ownership.nextOwnerKey;
     if (isDue && isAble)
         writeOwnerKey(state, now, actions);
--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -136,6 +136,9 @@
 
 void tickPeerCalls(CellState& state, const Instant& now, CellActions& actions)
 {
+    // The answers may have arrived in time, and wait for a busy instance to read them.
+    if (state.hasUnreadFrames)
+        return;
     while (!state.peerDeadlines.empty() && state.peerDeadlines.begin()->first <= now.steady) {
         auto it = state.peerCalls.find(state.peerDeadlines.begin()->second);
         state.peerDeadlines.erase(state.peerDeadlines.begin());
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -135,6 +135,8 @@
     out.set_incarnation(owner.incarnation);
     out.set_token(owner.token);
     out.set_is_settled(owner.isSettled);
+    out.set_turned_away_thousandths(owner.admission.turnedAwayThousandths);
+    out.set_backlog_ms(toMilliseconds(owner.admission.backlog));
     return out.SerializeAsString();
 }
 
@@ -143,7 +145,8 @@
     wire::Owner in;
     if (!in.ParseFromString(bytes))
         return std::nullopt;
-    return OwnerRecord { in.instance(), in.address(), in.incarnation(), in.token(), 0, in.is_settled() };
+    AdmissionLimit admission { in.turned_away_thousandths(), fromMilliseconds(in.backlog_ms()) };
+    return OwnerRecord { in.instance(), in.address(), in.incarnation(), in.token(), 0, in.is_settled(), admission };
 }
 
 std::string encodeProcessorShare(std::int64_t milliCpu) { return std::to_string(milliCpu) + kMilliSuffix; }
--- a/src/cell/RecordCodec.h
+++ b/src/cell/RecordCodec.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "src/cell/AdmissionLimit.h"
 #include "src/cell/JobSpec.h"
 #include "src/cell/Messages.h"
 
@@ -26,6 +27,7 @@
     std::int64_t token { 0 };
     StoreRevision revision { 0 }; ///< Store revision of the record; not encoded.
     bool isSettled { false }; ///< Owners before this one send no orders any more.
+    AdmissionLimit admission {};
 };
 
 std::string encodeOwner(const OwnerRecord&);
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -302,11 +302,12 @@
 /// stored. acknowledgeStoredEnds() ends the wait.
 static Duration pollDelay(const CellState& state, const UpstreamRow& upstream)
 {
+    Duration pause = pauseInOverload(state.loop);
     std::int64_t unstored = upstream.lastEnd - upstream.acknowledged;
     if (unstored == 0 && upstream.unknownRuns == 0)
-        return Duration(0);
+        return pause;
     Duration interval = std::max(kUnstoredEndsInterval, state.commits.latency);
-    return std::min(kMaxPollInterval, interval + kIntervalPerUnstoredEnd * unstored);
+    return std::max(pause, std::min(kMaxPollInterval, interval + kIntervalPerUnstoredEnd * unstored));
 }
 
 static void applyPollResult(CellState& state, UpstreamRow& upstream, const PollResult& result, const Instant& now, CellActions& actions)
--- a/src/peer/FrameTransport.cpp
+++ b/src/peer/FrameTransport.cpp
@@ -94,6 +94,7 @@
     }
 
     Result<void> open();
+    bool readAvailable();
     void send(const std::string& address, const std::string& to, const std::string& bytes);
     void stop(int lingerMs);
 
@@ -191,22 +192,29 @@
     });
 }
 
-void FrameTransport::Impl::readRouter()
+bool FrameTransport::Impl::readAvailable()
 {
-    // The descriptor is edge-triggered, so all messages must be read before the next wait.
     for (int n = 0; !m_stopped && isReadable(m_router); ++n) {
-        if (n == kMessagesPerTurn) {
-            asio::post(m_context, [weak = weak_from_this()] {
-                std::shared_ptr<Impl> self = weak.lock();
-                if (self)
-                    self->readRouter();
-            });
-            return;
-        }
+        if (n == kMessagesPerTurn)
+            return false;
         std::optional<Frames> frames = receiveFrames(m_router);
         if (frames)
             handleFrames(*frames);
     }
+    return true;
+}
+
+void FrameTransport::Impl::readRouter()
+{
+    // The descriptor is edge-triggered, so all messages must be read before the next wait.
+    if (!readAvailable()) {
+        asio::post(m_context, [weak = weak_from_this()] {
+            std::shared_ptr<Impl> self = weak.lock();
+            if (self)
+                self->readRouter();
+        });
+        return;
+    }
     if (!m_stopped)
         watchRouter();
 }
@@ -366,6 +374,8 @@
     m_impl->send(address, to, bytes);
 }
 
+bool FrameTransport::readAvailable() { return m_impl->readAvailable(); }
+
 void FrameTransport::stop() { m_impl->stop(kStopLingerMs); }
 
 void FrameTransport::setErrorHandler(ErrorHandler handler) { m_impl->errorHandler = std::move(handler); }
--- a/src/peer/FrameTransport.h
+++ b/src/peer/FrameTransport.h
@@ -50,6 +50,8 @@
     /// Queues a message; never blocks. Messages that can't be queued are dropped and counted.
     /// `to` is the receiver's name for error reports.
     void send(const std::string& address, const std::string& to, const std::string& bytes);
+    /// Delivers the messages that have arrived. False: there are more than are read at a time.
+    bool readAvailable();
     /// Closes all sockets; queued messages are still sent for up to 500 ms.
     void stop();
     /// Sets the handler for malformed messages and socket errors; full queues are only counted.
