--- a/src/cell/LoopDelay.cpp
+++ b/src/cell/LoopDelay.cpp
@@ -5,9 +5,10 @@
 namespace crocuslever::cell {
 
 static constexpr Duration kSmoothingTime = std::chrono::seconds(1);
-/// One long turn, as after a pause of the process, is no lasting overload.
+/// One long turn, as after a pause of the process, is no lasting overload: on top of a delay that leaves slack, it stays
+/// below kOverloadDelay.
 static constexpr Duration kMostWeightOfTurn = std::chrono::milliseconds(200);
-static constexpr Duration kLongestDelayOfTurn = std::chrono::seconds(1);
+static constexpr Duration kLongestDelayOfTurn = std::chrono::milliseconds(300);
 static constexpr Duration kOverloadDelay = std::chrono::milliseconds(100);
 static constexpr Duration kSlackDelay = std::chrono::milliseconds(40);
 static constexpr int kPausePerDelay = 4; ///< Pause, as a multiple of the delay.
