--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -101,7 +101,9 @@
         return false;
     std::set<int> priorities = prioritiesOf(*state.configuration.value);
     constexpr double kThousandths = 1000.0;
-    double accepted = static_cast<double>(priorities.size()) - static_cast<double>(admission.turnedAwayThousandths) / kThousandths;
+    double turnedAway = static_cast<double>(admission.turnedAwayThousandths) / kThousandths;
+    // The owner may have counted the classes of another version of the configuration.
+    double accepted = std::max(kLeastAccepted, static_cast<double>(priorities.size()) - turnedAway);
     double moreUrgent = static_cast<double>(std::distance(priorities.begin(), priorities.find(route.priority)));
     return rankInClass(jobId) >= accepted - moreUrgent;
 }
