--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -43,7 +43,7 @@
     std::int64_t starts = state.counters.get("task_starts_total");
     double rate = static_cast<double>(starts - control.startsBefore) / std::chrono::duration<double>(elapsed).count();
     control.startsBefore = starts;
-    control.startRate += (rate - control.startRate) / kRateSamples;
+    control.startRate = control.startRate > 0.0 ? control.startRate + (rate - control.startRate) / kRateSamples : rate;
     std::chrono::duration<double> seconds(static_cast<double>(countWaitingTasks(state)) / std::max(1.0, control.startRate));
     return std::min(kMostRetryAfter, std::chrono::duration_cast<Duration>(seconds));
 }
@@ -71,6 +71,12 @@
     if (!isOwner(state) || !state.configuration.value)
         return;
     AdmissionControl& control = state.ownership.admission;
+    if (control.adjustedAt == TimePoint()) {
+        // A new owner has measured nothing yet but its own recovery.
+        control.adjustedAt = now.steady;
+        control.startsBefore = state.counters.get("task_starts_total");
+        return;
+    }
     Duration elapsed = now.steady - control.adjustedAt;
     if (elapsed < kAdjustInterval)
         return;
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -289,6 +289,24 @@
     BOOST_TEST((drawRetryAfter(owner.state).most <= std::chrono::seconds(20)));
 }
 
+// The first estimate divided the starts of this process by the time since the start of the machine, and later ones rose
+// from there only slowly.
+BOOST_AUTO_TEST_CASE(BacklogOfANewOwnerIsOverestimated)
+{
+    AdmittingOwner owner;
+    owner.state.counters.add("task_starts_total", 50);
+    owner.state.jobs["waiting"].waiting = 400;
+    owner.state.waitingJobs.insert("waiting");
+    owner.run(kLate, kTurn);
+    for (int n = 0; n < 3; ++n) {
+        owner.state.counters.add("task_starts_total", 100);
+        owner.run(kLate, std::chrono::seconds(1));
+        BOOST_REQUIRE(owner.state.membership.admission.turnedAwayThousandths > 0);
+        BOOST_TEST((owner.state.membership.admission.backlog > std::chrono::milliseconds(3500)));
+        BOOST_TEST((owner.state.membership.admission.backlog < std::chrono::milliseconds(4500)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace crocuslever::cell
