--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -204,9 +204,10 @@
 struct Membership {
     LeaseId lease { 0 };
     bool granting { false };
-    int renewals { 0 }; ///< In flight.
+    int renewals { 0 }; ///< Of this lease, in flight.
     bool registering { false };
     bool registered { false };
+    TimePoint nextRegistration; ///< Earliest time of the next attempt.
     Confirmation renewal; ///< Of the lease.
     TimePoint nextRenewal;
     bool isListing { false };
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -17,44 +17,57 @@
 static constexpr Duration kListInterval = std::chrono::milliseconds(300);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(150);
 
-static void handleRegistered(CellState& state, const StoreReply& reply, const Instant& now, CellActions& actions)
+static void dropLease(Membership& membership)
+{
+    membership.lease = 0;
+    membership.registered = false;
+    // Those in flight concern the lost lease, and don't count against those of the next one.
+    membership.renewals = 0;
+}
+
+static void handleRegistered(CellState& state, LeaseId lease, const StoreReply& reply, const Instant& now, CellActions& actions)
 {
     Membership& membership = state.membership;
     membership.registering = false;
+    if (lease != membership.lease)
+        return;
     membership.registered = reply.status == StoreStatus::Ok;
     if (membership.registered) {
-        logMessage(actions, LogLevel::Info, "membership", "", "", "registered in the store with lease " + std::to_string(membership.lease));
+        logMessage(actions, LogLevel::Info, "membership", "", "", "registered in the store with lease " + std::to_string(lease));
         return;
     }
-    if (reply.status == StoreStatus::NotFound)
-        membership.lease = 0;
-    membership.nextRenewal = now.steady + kRetryInterval;
+    membership.nextRegistration = now.steady + kRetryInterval;
+    if (reply.status != StoreStatus::NotFound)
+        return;
+    dropLease(membership);
+    membership.nextRenewal = std::min(membership.nextRenewal, membership.nextRegistration);
 }
 
 static void registerInstance(CellState& state, CellActions& actions)
 {
+    LeaseId lease = state.membership.lease;
     state.membership.registering = true;
     StoreChange command;
     std::string record = encodeInstance({ state.settings.address, state.settings.incarnation, state.settings.milliCpu, state.settings.domain });
-    command.puts.push_back({ kInstancePrefix + state.settings.instance, record, state.membership.lease });
-    sendChange(state, std::move(command), handleRegistered, actions);
+    command.puts.push_back({ kInstancePrefix + state.settings.instance, record, lease });
+    auto then = [lease](CellState& s, const StoreReply& reply, const Instant& at, CellActions& out) { handleRegistered(s, lease, reply, at, out); };
+    sendChange(state, std::move(command), then, actions);
 }
 
 static void loseLease(CellState& state, TimePoint sentAt, const Instant& now, CellActions& actions)
 {
     Membership& membership = state.membership;
     logMessage(actions, LogLevel::Warning, "membership", "", "", "instance lease lost, requesting a new one; lost lease: " + std::to_string(membership.lease) + ", last renewed " + describeAge(membership.renewal, now.steady) + ", this renewal was sent " + std::to_string(toMilliseconds(now.steady - sentAt)) + " ms ago");
-    membership.lease = 0;
-    membership.registered = false;
+    dropLease(membership);
     membership.nextRenewal = now.steady;
 }
 
 static void handleRenewal(CellState& state, LeaseId lease, const StoreReply& reply, TimePoint sentAt, const Instant& now, CellActions& actions)
 {
     Membership& membership = state.membership;
-    --membership.renewals;
     if (lease != membership.lease)
         return;
+    --membership.renewals;
     if (reply.status == StoreStatus::NotFound)
         loseLease(state, sentAt, now, actions);
     else if (reply.status == StoreStatus::Ok)
@@ -179,7 +192,8 @@
     if (state.stopped)
         return;
     keepLease(state, now.steady, actions);
-    tickRelay(state, now, actions);
+    if (!actions.empty())
+        tickRelay(state, now, actions);
 }
 
 void tickMembership(CellState& state, const Instant& now, CellActions& actions)
@@ -188,7 +202,7 @@
         return;
     keepLease(state, now.steady, actions);
     Membership& membership = state.membership;
-    if (membership.lease != 0 && !membership.registered && !membership.registering && now.steady >= membership.nextRenewal - kRenewalInterval)
+    if (membership.lease != 0 && !membership.registered && !membership.registering && now.steady >= membership.nextRegistration)
         registerInstance(state, actions);
     listInstances(state, now, actions);
 }
