--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -131,7 +131,10 @@
         else
             logMessage(actions, LogLevel::Warning, "peer.receive", frame.from, "", "malformed message of " + std::to_string(bytes.size()) + " bytes in a joined frame dropped");
     }
-    handleMessage(state, message, now, actions);
+    // The frame around joined ones answers no query.
+    bool isOnlyJoined = !message.frames().empty() && message.body_case() == wire::PeerMessage::BODY_NOT_SET;
+    if (!isOnlyJoined)
+        handleMessage(state, message, now, actions);
 }
 
 void tickPeerCalls(CellState& state, const Instant& now, CellActions& actions)
