--- a/src/peer/FrameTransport.cpp
+++ b/src/peer/FrameTransport.cpp
@@ -94,7 +94,7 @@
     }
 
     Result<void> open();
-    bool readAvailable();
+    bool readNow();
     void send(const std::string& address, const std::string& to, const std::string& bytes);
     void stop(int lingerMs);
 
@@ -106,7 +106,9 @@
     Result<void> bind();
     void openAuthentication();
     void watchRouter();
+    bool readAvailable();
     void readRouter();
+    void readLater();
     Result<void> deliverFrames(const Frames&);
     void handleFrames(const Frames&);
     void watchAuthentication();
@@ -128,6 +130,8 @@
     asio::posix::stream_descriptor m_authenticationWatch;
     asio::steady_timer m_sweepTimer;
     std::map<std::string, PeerSocket> m_peers; ///< Keyed by address.
+    bool m_isWatching { false };
+    bool m_isReadPosted { false };
     bool m_stopped { false };
 };
 
@@ -185,9 +189,15 @@
 
 void FrameTransport::Impl::watchRouter()
 {
+    if (m_isWatching)
+        return;
+    m_isWatching = true;
     m_routerWatch.async_wait(asio::posix::stream_descriptor::wait_read, [weak = weak_from_this()](error_code ec) {
         std::shared_ptr<Impl> self = weak.lock();
-        if (!ec && self)
+        if (!self)
+            return;
+        self->m_isWatching = false;
+        if (!ec)
             self->readRouter();
     });
 }
@@ -204,21 +214,38 @@
     return true;
 }
 
+void FrameTransport::Impl::readLater()
+{
+    if (m_isReadPosted)
+        return;
+    m_isReadPosted = true;
+    asio::post(m_context, [weak = weak_from_this()] {
+        std::shared_ptr<Impl> self = weak.lock();
+        if (!self)
+            return;
+        self->m_isReadPosted = false;
+        self->readRouter();
+    });
+}
+
 void FrameTransport::Impl::readRouter()
 {
     // The descriptor is edge-triggered, so all messages must be read before the next wait.
-    if (!readAvailable()) {
-        asio::post(m_context, [weak = weak_from_this()] {
-            std::shared_ptr<Impl> self = weak.lock();
-            if (self)
-                self->readRouter();
-        });
-        return;
-    }
-    if (!m_stopped)
+    if (!readAvailable())
+        readLater();
+    else if (!m_stopped)
         watchRouter();
 }
 
+/// Reading may use up the edge that the event loop waits for, so that what is left has to be read without it.
+bool FrameTransport::Impl::readNow()
+{
+    bool isAllRead = readAvailable();
+    if (!isAllRead)
+        readLater();
+    return isAllRead;
+}
+
 Result<void> FrameTransport::Impl::deliverFrames(const Frames& frames)
 {
     // Frames: routing id of the connection, name of the sender, message.
@@ -374,7 +401,7 @@
     m_impl->send(address, to, bytes);
 }
 
-bool FrameTransport::readAvailable() { return m_impl->readAvailable(); }
+bool FrameTransport::readAvailable() { return m_impl->readNow(); }
 
 void FrameTransport::stop() { m_impl->stop(kStopLingerMs); }
 
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <memory>
+#include <thread>
 #include <zmq.hpp>
 
 #include "src/codec/PeerCodec.h"
@@ -260,4 +261,131 @@
     BOOST_TEST(a.transport.counters().messagesSent == 101u);
 }
 
+static constexpr std::size_t kMessagesPerTurn = 1000; ///< Most that readAvailable() delivers.
+
+/// An instance whose messages wait until the test reads them, or runs its event loop.
+struct Reader {
+    Reader()
+        : transport(context, makeSettings("e-1"), [this](const std::string&, const std::string& bytes) {
+            received.push_back(bytes);
+            return Result<void>(boost::outcome_v2::success());
+        })
+        , sender(senderContext, makeSettings("e-2"), [](const std::string&, const std::string&) { return Result<void>(boost::outcome_v2::success()); })
+    {
+        BOOST_REQUIRE(transport.open().has_value());
+        BOOST_REQUIRE(sender.open().has_value());
+    }
+
+    static FrameTransportSettings makeSettings(const std::string& name)
+    {
+        FrameTransportSettings settings;
+        settings.self = InstanceId(name);
+        settings.bindAddress = "127.0.0.1:*";
+        settings.insecure = true;
+        return settings;
+    }
+
+    void send(std::size_t count)
+    {
+        for (std::size_t n = 0; n < count; ++n)
+            sender.send(transport.boundAddress(), "e-1", std::to_string(sent++));
+    }
+
+    /// Reads without the event loop until all that was sent has arrived.
+    void readAll()
+    {
+        std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+        while (received.size() < sent) {
+            BOOST_REQUIRE(std::chrono::steady_clock::now() < limit);
+            transport.readAvailable();
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+
+    /// Sends until more messages wait than are read at a time.
+    void sendMoreThanIsRead()
+    {
+        std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+        for (bool isAllRead = true; isAllRead;) {
+            BOOST_REQUIRE(std::chrono::steady_clock::now() < limit);
+            readAll();
+            send(2 * kMessagesPerTurn);
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            std::size_t before = received.size();
+            isAllRead = transport.readAvailable();
+            BOOST_TEST((isAllRead || received.size() - before == kMessagesPerTurn));
+        }
+    }
+
+    void checkOrder() const
+    {
+        for (std::size_t n = 0; n < received.size(); ++n)
+            BOOST_REQUIRE(received[n] == std::to_string(n));
+    }
+
+    boost::asio::io_context context;
+    boost::asio::io_context senderContext;
+    std::vector<std::string> received;
+    std::size_t sent { 0 };
+    FrameTransport transport;
+    FrameTransport sender;
+};
+
+// An instance judged timeouts although the answers had arrived, and waited for its event loop to read them.
+BOOST_FIXTURE_TEST_CASE(MessageThatHasArrivedWaitsForTheEventLoop, Reader)
+{
+    BOOST_TEST(transport.readAvailable());
+    send(10);
+    readAll();
+    BOOST_TEST(transport.readAvailable());
+    BOOST_TEST(received.size() == 10U);
+    checkOrder();
+}
+
+BOOST_FIXTURE_TEST_CASE(MoreMessagesThanAreReadAtATimeAreTakenForAll, Reader)
+{
+    sendMoreThanIsRead();
+    BOOST_TEST(received.size() < sent);
+    readAll();
+    BOOST_TEST(transport.readAvailable());
+    checkOrder();
+}
+
+// Reading clears the signal of the descriptor, so that the event loop heard nothing of the messages left.
+BOOST_FIXTURE_TEST_CASE(MessagesLeftByReadAvailableWaitForTheNextOne, Reader)
+{
+    for (int n = 0; n < 3; ++n) {
+        sendMoreThanIsRead();
+        runUntil(context, [this] { return received.size() == sent; });
+    }
+    checkOrder();
+}
+
+// The event loop waits for an edge of the descriptor, which reading outside of its handler may use up.
+BOOST_FIXTURE_TEST_CASE(EventLoopMissesMessagesAfterReadAvailable, Reader)
+{
+    for (int n = 0; n < 200; ++n) {
+        send(3);
+        if (n % 2 == 0)
+            readAll();
+        transport.readAvailable();
+        send(1);
+        runUntil(context, [this] { return received.size() == sent; });
+    }
+    checkOrder();
+}
+
+// A read that was posted before stop() must not touch the closed sockets.
+BOOST_FIXTURE_TEST_CASE(StoppedTransportDeliversMessages, Reader)
+{
+    sendMoreThanIsRead();
+    transport.readAvailable();
+    transport.stop();
+    std::size_t before = received.size();
+    BOOST_TEST(transport.readAvailable());
+    context.restart();
+    context.run_for(std::chrono::milliseconds(50));
+    BOOST_TEST(received.size() == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
