--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -94,6 +94,13 @@
 
     void send(Call call)
     {
+        if (m_stopped)
+            return;
+        ConnectionPtr connection = m_waiting.empty() && hasRoom() ? acquireIdle() : nullptr;
+        if (connection) {
+            startOn(connection, std::move(call));
+            return;
+        }
         m_waiting.push_back(std::move(call));
         asio::post(m_io, [self = shared_from_this()] { self->startWaitingCalls(); });
     }
@@ -105,6 +112,8 @@
         m_idle.clear();
         for (const ConnectionPtr& connection : m_busy)
             connection->stream.close();
+        for (const ConnectionPtr& connection : m_opening)
+            connection->stream.close();
     }
 
     std::uint64_t calls() const { return m_calls; }
@@ -112,9 +121,11 @@
 private:
     using ConnectionPtr = std::shared_ptr<Connection>;
 
+    bool hasRoom() const { return m_busy.size() < m_settings.maximumConnections; }
+
     void startWaitingCalls()
     {
-        while (!m_stopped && !m_waiting.empty() && m_busy.size() < m_settings.maximumConnections) {
+        while (!m_stopped && !m_waiting.empty() && hasRoom()) {
             Call call = std::move(m_waiting.front());
             m_waiting.pop_front();
             start(std::move(call));
@@ -122,26 +133,62 @@
     }
 
     void start(Call call)
+    {
+        ConnectionPtr idle = acquireIdle();
+        if (idle) {
+            startOn(idle, std::move(call));
+            return;
+        }
+        ConnectionPtr connection = std::make_shared<Connection>(m_io);
+        assign(connection, std::move(call));
+        if (connection->call.request.requireReusedConnection)
+            finish(connection, makeError(ErrorCode::Unavailable, connection->call.request, currentEndpoint(), asio::error::not_connected));
+        else
+            connect(connection);
+    }
+
+    /// Sends the call on an open connection.
+    void startOn(const ConnectionPtr& connection, Call call)
+    {
+        assign(connection, std::move(call));
+        write(connection);
+    }
+
+    void assign(const ConnectionPtr& connection, Call call)
     {
         ++m_calls;
-        ConnectionPtr connection = acquireIdle();
-        bool isOpen = connection != nullptr;
-        if (!isOpen)
-            connection = std::make_shared<Connection>(m_io);
         m_busy.push_back(connection);
         connection->call = std::move(call);
-        if (!isOpen && connection->call.request.requireReusedConnection) {
-            finish(connection, makeError(ErrorCode::Unavailable, connection->call.request, currentEndpoint(), asio::error::not_connected));
-            return;
-        }
         // One deadline covers connect, request and answer: the kernel of a stopped server still
         // accepts connections and data.
         Duration timeout = connection->call.request.timeout;
         connection->stream.expires_after(timeout > Duration(0) ? timeout : m_settings.timeout);
-        if (isOpen)
-            write(connection);
-        else
-            connect(connection);
+    }
+
+    /// Opens connections ahead of calls; see HttpClientSettings::openConnections.
+    void openSpares()
+    {
+        if (m_settings.openConnections == 0)
+            return;
+        m_idle.erase(std::remove_if(m_idle.begin(), m_idle.end(), [](const ConnectionPtr& it) { return !isReusable(*it); }), m_idle.end());
+        std::optional<tcp::endpoint> endpoint = parseEndpoint(currentEndpoint());
+        while (endpoint && m_idle.size() + m_busy.size() + m_opening.size() < m_settings.openConnections)
+            openSpare(*endpoint);
+    }
+
+    void openSpare(const tcp::endpoint& endpoint)
+    {
+        ConnectionPtr connection = std::make_shared<Connection>(m_io);
+        connection->peer = currentEndpoint();
+        connection->stream.expires_after(m_settings.timeout);
+        m_opening.push_back(connection);
+        connection->stream.async_connect(endpoint, [self = shared_from_this(), connection](error_code ec) {
+            std::vector<ConnectionPtr>& opening = self->m_opening;
+            opening.erase(std::remove(opening.begin(), opening.end(), connection), opening.end());
+            bool isOfUse = !ec && !self->m_stopped && connection->peer == self->currentEndpoint();
+            if (isOfUse)
+                self->returnToIdle(connection);
+        });
     }
 
     ConnectionPtr acquireIdle()
@@ -281,6 +328,8 @@
         else if (response.keep_alive())
             returnToIdle(connection);
         finish(connection, std::move(reply));
+        if (!m_stopped)
+            openSpares();
     }
 
     void returnToIdle(const ConnectionPtr& connection)
@@ -304,6 +353,7 @@
     std::deque<Call> m_waiting;
     std::vector<ConnectionPtr> m_idle;
     std::vector<ConnectionPtr> m_busy;
+    std::vector<ConnectionPtr> m_opening; ///< Without a call yet.
     std::size_t m_endpoint { 0 };
     std::uint64_t m_calls { 0 };
     bool m_stopped { false };
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -39,6 +39,8 @@
     std::uint64_t maximumBodyBytes { 1048576 }; ///< Limit of an answer's body.
     Duration transferTimeout { 0 }; ///< From the first bytes of an answer to its end; 0: within `timeout`.
     std::size_t readBufferBytes { 8192 }; ///< Of each connection: the most that one turn of the event loop reads.
+    /// Kept open after an answer, so that as many calls are sent within send(), also by an event loop in a long turn.
+    std::size_t openConnections { 0 };
 };
 
 /// Sends calls to one service over keep-alive connections. Each connection carries one call at a time
@@ -51,7 +53,8 @@
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
-    /// Queues a call. The handler is called later, never from within send().
+    /// Sends a call at once if an open connection is idle, else queues it. The handler is called later, never from within
+    /// send().
     void send(HttpRequest, HttpHandler);
     /// Closes all connections; handlers of pending calls are not called.
     void stop();
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -1,7 +1,9 @@
 #include "platform/PlatformStore.h"
 
+#include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 #include "src/codec/Base64.h"
 #include "tests/support/FakeHttpServer.h"
@@ -147,4 +149,99 @@
     BOOST_TEST(reply->deleted == std::vector<std::string> { "op/evacuate/b" });
 }
 
+/// A store that answers lease calls on a thread of its own, also while the client's event loop is in a long turn.
+struct LeaseFixture {
+    LeaseFixture()
+        : server(serverIo, "127.0.0.1", 0)
+        , store(io, server.endpoint(), [this](const cell::CellEvent& event) { statuses.push_back(std::get<StoreReply>(event).status); })
+    {
+        server.route("POST", "/-/kv-keep/", [this](const ExchangePtr& exchange) {
+            ++renewals;
+            exchange->reply(200, R"({"lease":7})");
+        });
+        serverThread = std::thread([this] { serverIo.run(); });
+    }
+
+    ~LeaseFixture()
+    {
+        serverIo.stop();
+        serverThread.join();
+    }
+
+    void renew() { store.execute(cell::LeaseRenew { nextTicket++, 7 }); }
+
+    /// Lets renewals pass as in a loop that has little to do, which is how an instance begins.
+    void renewWithoutHurry()
+    {
+        constexpr std::size_t kCount = 5;
+        for (std::size_t n = 1; n <= kCount; ++n) {
+            renew();
+            BOOST_REQUIRE(runUntil(io, [this, n] { return statuses.size() == n; }));
+        }
+        io.restart();
+        io.run_for(std::chrono::milliseconds(100));
+        BOOST_REQUIRE(renewals == static_cast<int>(kCount));
+    }
+
+    /// True if the store receives that many renewals within 5 s in which the event loop doesn't run.
+    bool arriveWithinTheTurn(int count) const
+    {
+        std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (renewals < count && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return renewals == count;
+    }
+
+    boost::asio::io_context io;
+    boost::asio::io_context serverIo;
+    FakeHttpServer server;
+    std::atomic<int> renewals { 0 };
+    std::vector<StoreStatus> statuses;
+    Ticket nextTicket { 1 };
+    platform::PlatformStore store;
+    std::thread serverThread;
+};
+
+// The renewals that an owner sends within a long turn left only after it, when the lease had expired.
+BOOST_FIXTURE_TEST_CASE(RenewalWaitsForTheEndOfTheTurn, LeaseFixture)
+{
+    renewWithoutHurry();
+    for (int n = 6; n <= 8; ++n) {
+        renew();
+        BOOST_TEST(arriveWithinTheTurn(n));
+    }
+    // The answers are read once the turn ends.
+    BOOST_REQUIRE(runUntil(io, [this] { return statuses.size() == 8; }));
+    for (StoreStatus status : statuses)
+        BOOST_TEST((status == StoreStatus::Ok));
+}
+
+// The time limit of a renewal passed within a long turn, though its answer had arrived.
+BOOST_FIXTURE_TEST_CASE(RenewalAnsweredWithinALongTurnIsTakenForFailed, LeaseFixture)
+{
+    renewWithoutHurry();
+    renew();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    BOOST_REQUIRE(runUntil(io, [this] { return statuses.size() == 6; }));
+    BOOST_TEST((statuses.back() == StoreStatus::Ok));
+}
+
+// Closed connections that wait for calls are replaced.
+BOOST_FIXTURE_TEST_CASE(RenewalWaitsForTheEndOfTheTurnAfterTheStoreClosedItsConnections, LeaseFixture)
+{
+    renewWithoutHurry();
+    boost::asio::post(serverIo, [this] { server.closeConnections(); });
+    for (std::size_t n = 6; n <= 7; ++n) {
+        renew();
+        BOOST_REQUIRE(runUntil(io, [this, n] { return statuses.size() == n; }));
+        io.restart();
+        io.run_for(std::chrono::milliseconds(100));
+    }
+    int before = renewals;
+    for (int n = 1; n <= 3; ++n) {
+        renew();
+        BOOST_TEST(arriveWithinTheTurn(before + n));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
