--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -99,6 +99,7 @@
     format.decodeDeclaration = [this](const StoreEntry& entry) { return m_declarations.decode(entry); };
     format.decodeDirectory = [this](const std::vector<StoreEntry>&) { return directory(); };
     slot.state = std::make_unique<CellState>(settings, format);
+    slot.loop = EventLoop {};
     int incarnation = slot.incarnations;
     m_queue.after(latency(0, 20), [this, n, incarnation] { tickInstance(n, incarnation); });
 }
@@ -225,6 +226,10 @@
         deliver(caller, slot.frozenUntil - now(), event);
         return;
     }
+    if (hasCosts()) {
+        arrive(caller, event);
+        return;
+    }
     CellActions actions;
     handleEvent(*slot.state, event, m_queue.now(), actions);
     tick(*slot.state, m_queue.now(), actions);
@@ -236,6 +241,12 @@
     InstanceSlot& slot = m_instances[n];
     if (!slot.state || slot.incarnations != incarnation)
         return;
+    if (hasCosts()) {
+        // Turns follow each other from here on.
+        if (!slot.loop.isBusy)
+            beginTurn({ n, incarnation }, now());
+        return;
+    }
     CellActions actions;
     if (now() >= slot.frozenUntil)
         tick(*slot.state, m_queue.now(), actions);
@@ -264,11 +275,19 @@
 
 void CellEmulator::submit(const std::string& id, const JobSpec& spec, std::size_t instance, Duration callerTimeout, const std::string& prefix, const std::string& key)
 {
-    m_jobs[id].spec = spec;
+    auto [row, isNew] = m_jobs.try_emplace(id);
+    row->second.spec = spec;
+    if (isNew)
+        row->second.submittedAt = now();
     EntryCall call { m_nextCall++, Verb::Submit, "host", prefix + id, key, spec, callerTimeout };
     m_calls[{ instance, call.id }] = [this, id](const EntryReply& reply) {
-        m_jobs[id].submitted = reply.outcome;
-        m_jobs[id].isAnswered = true;
+        CallerJob& job = m_jobs[id];
+        job.submitted = reply.outcome;
+        job.isAnswered = true;
+        job.answers.insert(reply.outcome);
+        job.answeredAt = now();
+        if (reply.outcome == EntryOutcome::Overloaded)
+            job.retryAfter = std::min(job.retryAfter, reply.retryAfter);
     };
     deliverNow({ instance, m_instances[instance].incarnations }, call);
 }
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -10,6 +10,7 @@
 #include "src/cell/CellState.h"
 #include "tests/emulator/EmulatedDeclarations.h"
 #include "tests/emulator/EmulatedUpstream.h"
+#include "tests/emulator/EventLoop.h"
 #include "tests/emulator/EventQueue.h"
 #include "tests/support/StoreModel.h"
 
@@ -29,12 +30,19 @@
     /// Of the polls of an upstream; a high one makes owners use delegates.
     Duration pollCost { CellSettings {}.pollCost };
     int goodAdvice { 100 }; ///< Percent of upstreams that the advice service names as good, by step and upstream.
+    // Processor time on a whole core. If one is set, instances work in turns, and what reaches them meanwhile waits.
+    Duration eventCost { 0 }; ///< Of handling an event; joined frames count each.
+    Duration actionCost { 0 }; ///< Of performing an action.
 };
 
 /// A submitted job, and the answers that its caller got.
 struct CallerJob {
     EntryOutcome submitted { EntryOutcome::Unknown };
     bool isAnswered { false };
+    std::set<EntryOutcome> answers; ///< To all submissions.
+    Duration retryAfter { Duration::max() }; ///< Least of all refusals for overload.
+    TimePoint submittedAt; ///< First submission.
+    TimePoint answeredAt; ///< Latest answer to a submission.
     JobSpec spec;
     TimePoint cancelledAt { TimePoint::max() }; ///< When the cancellation was confirmed.
 };
@@ -114,6 +122,8 @@
     /// Number of polls and orders that the instance has sent itself.
     std::int64_t upstreamCallsBy(std::size_t instance) const { return m_instances[instance].upstreamCalls; }
     Duration adviceBusy() const { return m_adviceBusy; }
+    /// Time that the instance has worked, if its work takes time.
+    Duration busyTime(std::size_t instance) const { return m_instances[instance].busyTime; }
     /// Number of configurations in the store's answers to all instances.
     int configurationsRead() const { return m_declarations.configurationsRead(); }
     /// Number of configurations that instances have sent to each other.
@@ -132,6 +142,8 @@
         bool isStoreBlackholed { false };
         bool hasTick { false };
         TimePoint frozenUntil;
+        EventLoop loop; ///< Unused if work takes no time.
+        Duration busyTime { 0 };
     };
     /// Instance and upstream id.
     using Connection = std::pair<std::size_t, std::string>;
@@ -155,6 +167,19 @@
     void deliverNow(const Caller&, const CellEvent&);
     void tickInstance(std::size_t instance, int incarnation);
     void dispatch(const Caller&, const CellActions&);
+
+    // Instances whose work takes time.
+    bool hasCosts() const { return m_settings.eventCost > Duration(0) || m_settings.actionCost > Duration(0); }
+    bool isRunning(const Caller&) const;
+    void arrive(const Caller&, const CellEvent&);
+    void beginTurn(const Caller&, TimePoint due);
+    void readInbox(const Caller&);
+    void tickTurn(const Caller&);
+    void endTurn(const Caller&);
+    void spend(const Caller&, Duration work, const EventQueue::Work& then);
+    void resume(const Caller&, const EventQueue::Work& then);
+    void renewLeaseInTime(const Caller&);
+
     Duration latency(std::int64_t leastMs, std::int64_t mostMs);
     bool chance(double share);
     bool isStoreSilent(std::size_t instance) const { return m_instances[instance].isStoreBlackholed || m_cutDomains.count(domainOf(instance)) > 0 || m_muteDomains.count(domainOf(instance)) > 0; }
