--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -377,6 +377,7 @@
 struct PeerCall {
     /// Receives null after a timeout.
     std::function<void(CellState&, const cellwire::PeerMessage* answer, const Instant&, CellActions&)> then;
+    Duration timeout { 0 };
 };
 
 /// Load on the advice service of one instance.
@@ -452,6 +453,8 @@
 
     std::map<CallId, EntryRow> entries;
     std::unordered_map<std::uint64_t, PeerCall> peerCalls; ///< By number of the query.
+    std::vector<std::uint64_t> unsentPeerCalls; ///< Queries that leave at the end of this turn.
+    std::vector<std::uint64_t> sentPeerCalls; ///< Queries of the turn before, whose timeout begins now.
     std::multimap<TimePoint, std::uint64_t> peerDeadlines; ///< Queries by deadline; those answered meanwhile are in no table any more.
     std::map<Ticket, StoreContinuation> storeCalls;
     std::map<Ticket, AdviceContinuation> adviceCalls;
--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -23,12 +23,12 @@
     actions.push_back(SendPeerFrame { address, message.SerializeAsString() });
 }
 
-void queryPeer(CellState& state, const std::string& address, wire::PeerMessage query, Duration timeout, PeerContinuation then, const Instant& now, CellActions& actions)
+void queryPeer(CellState& state, const std::string& address, wire::PeerMessage query, Duration timeout, PeerContinuation then, const Instant&, CellActions& actions)
 {
     std::uint64_t call = state.nextTicket++;
     query.set_call(call);
-    state.peerCalls.emplace(call, PeerCall { std::move(then) });
-    state.peerDeadlines.emplace(now.steady + timeout, call);
+    state.peerCalls.emplace(call, PeerCall { std::move(then), timeout });
+    state.unsentPeerCalls.push_back(call);
     send(state, address, std::move(query), actions);
 }
 
@@ -137,8 +137,20 @@
         handleMessage(state, message, now, actions);
 }
 
+/// A query leaves at the end of the turn that makes it, and that turn may be longer than the timeout.
+static void beginTimeouts(CellState& state, TimePoint now)
+{
+    for (std::uint64_t call : state.sentPeerCalls) {
+        auto it = state.peerCalls.find(call);
+        if (it != state.peerCalls.end())
+            state.peerDeadlines.emplace(now + it->second.timeout, call);
+    }
+    state.sentPeerCalls.clear();
+}
+
 void tickPeerCalls(CellState& state, const Instant& now, CellActions& actions)
 {
+    beginTimeouts(state, now.steady);
     // The answers may have arrived in time, and wait for a busy instance to read them.
     if (state.hasUnreadFrames)
         return;
@@ -156,8 +168,10 @@
 
 /// Joins the frames to each address into one. An owner sends several to each of its delegates in a turn, and each
 /// frame costs both sides more than its contents.
-void tickFrames(CellState&, const Instant&, CellActions& actions)
+void tickFrames(CellState& state, const Instant&, CellActions& actions)
 {
+    state.sentPeerCalls.insert(state.sentPeerCalls.end(), state.unsentPeerCalls.begin(), state.unsentPeerCalls.end());
+    state.unsentPeerCalls.clear();
     std::unordered_map<std::string, std::size_t> framesTo;
     for (const CellAction& action : actions) {
         const SendPeerFrame* frame = std::get_if<SendPeerFrame>(&action);
