--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
@@ -21,6 +22,13 @@
 using Request = http::request<http::string_body>;
 using Parser = http::response_parser<http::string_body>;
 
+using Clock = std::chrono::steady_clock;
+
+/// A late event loop handles at most 128 descriptors, and then all timers that have expired, also those of answers that have
+/// arrived in time but are not among the 128. So a timeout is put off while there is something to read.
+static constexpr Duration kUnreadInterval = std::chrono::milliseconds(10);
+static constexpr int kMostPutOff = 100; ///< Times that a timeout is put off.
+
 static Request makeRequest(const HttpRequest& request, const std::string& host)
 {
     constexpr int kHttp11 = 11;
@@ -59,15 +67,21 @@
 struct Connection {
     explicit Connection(asio::io_context& io)
         : stream(io)
+        , timer(io)
     {
     }
 
     beast::tcp_stream stream;
+    asio::steady_timer timer; ///< For the answer.
+    Clock::time_point deadline; ///< Of the call, unless parts of the answer put it off.
+    bool isReading { false };
+    bool isTimedOut { false };
+    int putOff { 0 }; ///< Times that the timeout was put off.
     beast::flat_buffer buf;
     std::string peer;
     std::optional<Request> request;
     std::optional<Parser> parser;
-    std::optional<std::chrono::steady_clock::time_point> transferEnd; ///< Set once a part of the answer has arrived.
+    std::optional<Clock::time_point> transferEnd; ///< Set once a part of the answer has arrived.
     Call call;
 };
 
@@ -110,8 +124,10 @@
         m_stopped = true;
         m_waiting.clear();
         m_idle.clear();
-        for (const ConnectionPtr& connection : m_busy)
+        for (const ConnectionPtr& connection : m_busy) {
+            connection->timer.cancel();
             connection->stream.close();
+        }
         for (const ConnectionPtr& connection : m_opening)
             connection->stream.close();
     }
@@ -162,7 +178,8 @@
         // One deadline covers connect, request and answer: the kernel of a stopped server still
         // accepts connections and data.
         Duration timeout = connection->call.request.timeout;
-        connection->stream.expires_after(timeout > Duration(0) ? timeout : m_settings.timeout);
+        connection->deadline = Clock::now() + (timeout > Duration(0) ? timeout : m_settings.timeout);
+        connection->stream.expires_at(connection->deadline);
     }
 
     /// Opens connections ahead of calls; see HttpClientSettings::openConnections.
@@ -266,16 +283,43 @@
         connection->parser->body_limit(m_settings.maximumBodyBytes);
         connection->parser->eager(true);
         connection->transferEnd.reset();
+        connection->isReading = true;
+        connection->putOff = 0;
+        connection->stream.expires_never();
+        startTimer(connection, connection->deadline);
         readSome(connection);
     }
 
+    void startTimer(const ConnectionPtr& connection, Clock::time_point at)
+    {
+        connection->timer.expires_at(at);
+        connection->timer.async_wait([self = shared_from_this(), connection](error_code ec) {
+            // A timer that was set again may have expired before.
+            if (!ec && connection->isReading && Clock::now() >= connection->timer.expiry())
+                self->handleTimeout(connection);
+        });
+    }
+
+    void handleTimeout(const ConnectionPtr& connection)
+    {
+        if (m_stopped)
+            return;
+        error_code ec;
+        if (connection->stream.socket().available(ec) > 0 && connection->putOff++ < kMostPutOff) {
+            startTimer(connection, Clock::now() + kUnreadInterval);
+            return;
+        }
+        connection->isTimedOut = true;
+        connection->stream.close();
+    }
+
     /// Reads without http::async_read_some(), which reads only 512 bytes at a time, and goes on in one operation, with one
     /// time limit, as long as the data ends between two chunks of the answer.
     void readSome(const ConnectionPtr& connection)
     {
         connection->stream.async_read_some(connection->buf.prepare(m_settings.readBufferBytes), [self = shared_from_this(), connection](error_code ec, std::size_t n) {
             connection->buf.commit(n);
-            self->parse(connection, ec);
+            self->parse(connection, ec && connection->isTimedOut ? error_code(beast::error::timeout) : ec);
         });
     }
 
@@ -302,10 +346,10 @@
         if (m_stopped)
             return;
         if (m_settings.transferTimeout > Duration(0)) {
-            std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+            Clock::time_point now = Clock::now();
             if (!connection->transferEnd)
                 connection->transferEnd = now + m_settings.transferTimeout;
-            connection->stream.expires_at(std::min(now + m_settings.timeout, *connection->transferEnd));
+            startTimer(connection, std::min<Clock::time_point>(now + m_settings.timeout, *connection->transferEnd));
         }
         readSome(connection);
     }
@@ -341,6 +385,8 @@
     void finish(const ConnectionPtr& connection, Result<HttpReply> result)
     {
         m_busy.erase(std::remove(m_busy.begin(), m_busy.end(), connection), m_busy.end());
+        connection->isReading = false;
+        connection->timer.cancel();
         if (m_stopped)
             return;
         Call call = std::move(connection->call);
