--- a/src/cell/Delegation.cpp
+++ b/src/cell/Delegation.cpp
@@ -27,6 +27,7 @@
 static constexpr Duration kForwardingTime = std::chrono::milliseconds(300);
 /// Few delegates with many upstreams each take few frames; many lose less with one of them.
 static constexpr std::size_t kUpstreamsPerDelegate = 32;
+static constexpr int kFailedPollsUntilOwnPoll = 2; ///< Consecutive polls by delegates.
 static constexpr Duration kDelegateBackoff = std::chrono::milliseconds(3000); ///< For a delegate that did not answer.
 
 /// The polls of this many upstreams take the share of the processor that an owner spends on them.
@@ -77,7 +78,13 @@
     {
     }
 
-    void operator()(UpstreamPoll& poll) { delegate(poll, poll.wait + kPollMargin, handlePollAnswer); }
+    void operator()(UpstreamPoll& poll)
+    {
+        if (isOwnPollDue(poll.target.id))
+            m_out.push_back(std::move(poll));
+        else
+            delegate(poll, poll.wait + kPollMargin, handlePollAnswer);
+    }
     void operator()(RunStart& order) { delegate(order, kOrderTimeout, handleOrderAnswer); }
     void operator()(RunStop& order) { delegate(order, kOrderTimeout, handleOrderAnswer); }
     void operator()(RunPace& order) { delegate(order, kOrderTimeout, handleOrderAnswer); }
@@ -101,6 +108,14 @@
         handleOrderResult(state, answer ? decodeOrderResult(*answer, ticket) : none, now, actions);
     }
 
+    /// A delegate that is late is no dead upstream, whose runs would be started again. The first failure may only be that of
+    /// a new delegate, which has no connection yet.
+    bool isOwnPollDue(const std::string& upstream) const
+    {
+        auto it = m_state.upstreams.find(upstream);
+        return it != m_state.upstreams.end() && it->second.failedPolls >= kFailedPollsUntilOwnPoll;
+    }
+
     bool isDelegate(const std::string& address) const
     {
         return std::find(m_delegates.begin(), m_delegates.end(), address) != m_delegates.end();
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -18,6 +18,8 @@
 /// Between passes over all upstreams: this, and more for each upstream, so that passes take a bounded share of the time.
 static constexpr Duration kScanInterval = std::chrono::milliseconds(3);
 static constexpr Duration kScanIntervalPerUpstream = std::chrono::microseconds(10);
+/// The polls of one pass are sent in one turn of the event loop, which must not take long.
+static constexpr int kMaxPollsPerScan = 100;
 static constexpr Duration kPollWait = std::chrono::milliseconds(1000); ///< Long poll; an upstream answers earlier if a run ends.
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
 static constexpr Duration kUnstoredEndsInterval = std::chrono::milliseconds(50); ///< Between polls while run ends are not stored yet.
@@ -115,10 +117,12 @@
 }
 
 /// Ends the runs of an unreachable upstream once all leases given to it have expired. A successor would have adopted the
-/// runs and renewed the leases, so that time alone proves nothing.
+/// runs and renewed the leases, so that time alone proves nothing. A poll that is in flight tells how the runs ended: a busy
+/// owner may have its answer already, and not have read it.
 static void endExpiredRuns(CellState& state, UpstreamRow& upstream, const Instant& now, CellActions& actions)
 {
-    if (upstream.runs.empty() || !wasOwnerAt(state, upstream.leasesEnd))
+    bool isOutOfReach = upstream.failedPolls > 0 || upstream.isReplaced;
+    if (upstream.runs.empty() || !isOutOfReach || !wasOwnerAt(state, upstream.leasesEnd))
         return;
     logMessage(actions, LogLevel::Warning, "upstream.lapse", upstream.entry.id, "", "the leases of " + std::to_string(upstream.runs.size()) + " runs expired; the runs count as ended; ownership last confirmed " + describeAge(state.membership.listing, now.steady));
     std::vector<std::string> names;
@@ -158,6 +162,7 @@
     if (now.steady < ownership.nextUpstreamScan)
         return;
     ownership.nextUpstreamScan = now.steady + kScanInterval + static_cast<std::int64_t>(state.upstreams.size()) * kScanIntervalPerUpstream;
+    int polls = 0;
     for (auto it = state.upstreams.begin(); it != state.upstreams.end();) {
         UpstreamRow& upstream = it->second;
         endExpiredRuns(state, upstream, now, actions);
@@ -172,8 +177,11 @@
         }
         bool isLost = !upstream.listed && upstream.runs.empty() && !upstream.lapsedRuns.empty();
         bool isPolled = !upstream.isReplaced && !isLost;
-        if (isPolled && upstream.poll == 0 && now.steady >= upstream.nextPoll && mayIssueOrders(state, now.steady))
+        bool isDue = isPolled && upstream.poll == 0 && now.steady >= upstream.nextPoll;
+        if (isDue && polls < kMaxPollsPerScan && mayIssueOrders(state, now.steady)) {
             sendPoll(state, upstream, now, actions);
+            ++polls;
+        }
         ++it;
     }
     updateEarlierRunsKnown(state, actions);
