--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -13,7 +13,7 @@
 
 /// Between the sendings of two renewals. A busy instance reads the answers late, which must not delay the next one.
 static constexpr Duration kRenewalInterval = std::chrono::milliseconds(350);
-static constexpr int kMaxRenewalsInFlight = 3;
+static constexpr int kMaxRenewalsInFlight = 8;
 static constexpr Duration kListInterval = std::chrono::milliseconds(300);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(150);
 
