--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
+#include <cstdint>
 
 #include "src/cell/Ownership.h"
 #include "src/cell/StoreCalls.h"
@@ -10,12 +10,22 @@
 namespace crocuslever::cell {
 
 /// Between two adjustments. The effect of one shows once its record is listed and earlier jobs have been worked off.
-static constexpr Duration kAdjustInterval = std::chrono::milliseconds(1000);
-/// Additive increase, multiplicative decrease of what is accepted, in priority classes.
-static constexpr double kDecreaseFactor = 0.6;
-static constexpr double kIncrease = 0.15;
+static constexpr Duration kAdjustInterval = std::chrono::milliseconds(400);
+/// A busy owner with a longer backlog is overloaded, though its turns are not very late yet.
+static constexpr Duration kMostBacklog = std::chrono::milliseconds(800);
+/// More is accepted again only below this.
+static constexpr Duration kSmallBacklog = std::chrono::milliseconds(300);
+/// Each adjustment leaves at least and at most this share of what was accepted, unless the backlog shrinks.
+static constexpr double kLeastShareKept = 0.15;
+static constexpr double kMostShareKept = 0.6;
+/// How fast more is accepted again: by the greater of a part of a priority class and a share of what is accepted.
+static constexpr double kIncrease = 0.1;
+static constexpr double kIncreaseShare = 0.25;
+/// A new owner is late by its recovery, whatever the load. Until then the limit of its predecessor holds.
+static constexpr Duration kSettlingTime = std::chrono::seconds(4);
 static constexpr double kLeastAccepted = 0.1; ///< Of the most urgent class, so that the cell never stands idle.
 static constexpr int kRateSamples = 3; ///< Weight of the past in the smoothed rate of starts.
+static constexpr double kThousandths = 1000.0;
 static constexpr Duration kLeastRetryAfter = std::chrono::seconds(1);
 static constexpr Duration kMostRetryAfter = std::chrono::seconds(10);
 
@@ -28,76 +38,101 @@
     return priorities;
 }
 
+/// Without scheduled jobs, which mostly wait for their time.
 static std::int64_t countWaitingTasks(const CellState& state)
 {
     std::int64_t count = 0;
-    for (const std::string& id : state.waitingJobs)
-        count += state.jobs.at(id).waiting;
+    for (const std::string& id : state.waitingJobs) {
+        const JobRow& job = state.jobs.at(id);
+        count += job.record.spec.occurrences == 0 ? job.waiting : 0;
+    }
     return count;
 }
 
 /// Time that the waiting tasks take at the recent rate of starts.
-static Duration estimateBacklog(CellState& state, Duration elapsed)
+static Duration estimateBacklog(const CellState& state)
+{
+    std::chrono::duration<double> seconds(static_cast<double>(countWaitingTasks(state)) / std::max(1.0, state.ownership.admission.startRate));
+    return std::min(kMostRetryAfter, std::chrono::duration_cast<Duration>(seconds));
+}
+
+static bool mustAcceptLess(const CellState& state, Duration backlog)
+{
+    bool isFallingBehind = !isMostlyIdle(state.loop) && backlog > kMostBacklog;
+    return isOverloaded(state.loop) || isFallingBehind;
+}
+
+static double adjustAccepted(const CellState& state, double accepted, Duration backlog)
+{
+    if (mustAcceptLess(state, backlog)) {
+        bool isShrinking = backlog < state.ownership.admission.backlogBefore;
+        double share = std::chrono::duration<double>(kMostBacklog) / std::chrono::duration<double>(std::max(backlog, kSmallBacklog));
+        return isShrinking ? accepted : accepted * std::clamp(share, kLeastShareKept, kMostShareKept);
+    }
+    bool hasRoom = isMostlyIdle(state.loop) || (hasSlack(state.loop) && backlog < kSmallBacklog);
+    return hasRoom ? accepted + std::max(kIncrease, accepted * kIncreaseShare) : accepted;
+}
+
+/// Updates the rate of starts.
+static void measureStartRate(CellState& state, Duration elapsed)
 {
     AdmissionControl& control = state.ownership.admission;
-    std::int64_t starts = state.counters.get("task_starts_total");
-    double rate = static_cast<double>(starts - control.startsBefore) / std::chrono::duration<double>(elapsed).count();
-    control.startsBefore = starts;
+    std::int64_t starts = state.counters.get("task_starts_total") - control.startsBefore;
+    double rate = static_cast<double>(starts) / std::chrono::duration<double>(elapsed).count();
     control.startRate = control.startRate > 0.0 ? control.startRate + (rate - control.startRate) / kRateSamples : rate;
-    std::chrono::duration<double> seconds(static_cast<double>(countWaitingTasks(state)) / std::max(1.0, control.startRate));
-    return std::min(kMostRetryAfter, std::chrono::duration_cast<Duration>(seconds));
 }
 
-static double adjustTurnedAway(const LoopDelay& loop, double turnedAway, double classes)
+static void beginInterval(CellState& state, TimePoint now)
 {
-    double accepted = classes - turnedAway;
-    if (isOverloaded(loop))
-        accepted *= kDecreaseFactor;
-    else if (hasSlack(loop))
-        accepted += kIncrease;
-    return classes - std::clamp(accepted, kLeastAccepted, classes);
+    AdmissionControl& control = state.ownership.admission;
+    control.startsBefore = state.counters.get("task_starts_total");
+    control.adjustedAt = now;
 }
 
-static void logAdjustment(const CellState& state, const AdmissionLimit& admission, std::size_t classes, CellActions& actions)
+static void logAdjustment(const CellState& state, const AdmissionLimit& limit, CellActions& actions)
 {
-    std::string text = "turns away " + std::to_string(admission.turnedAwayThousandths) + " thousandths of a class of " + std::to_string(classes) + ", the least urgent first; turns begin ";
+    std::string text = "turns away " + std::to_string(limit.turnedAwayThousandths) + " thousandths of a priority class, the least urgent first; turns begin ";
     text += std::to_string(toMilliseconds(state.loop.smoothed)) + " ms late, " + std::to_string(state.waitingJobs.size()) + " jobs wait, for about ";
-    text += std::to_string(toMilliseconds(admission.backlog)) + " ms";
+    text += std::to_string(toMilliseconds(estimateBacklog(state))) + " ms";
     logMessage(actions, LogLevel::Info, "admission", "", "", text);
 }
 
 void tickAdmission(CellState& state, const Instant& now, CellActions& actions)
 {
-    if (!isOwner(state) || !state.configuration.value)
-        return;
     AdmissionControl& control = state.ownership.admission;
-    if (control.adjustedAt == TimePoint()) {
-        // A new owner has measured nothing yet but its own recovery.
-        control.adjustedAt = now.steady;
-        control.startsBefore = state.counters.get("task_starts_total");
-        return;
-    }
     Duration elapsed = now.steady - control.adjustedAt;
-    if (elapsed < kAdjustInterval)
+    if (!isOwner(state) || !state.configuration.value || elapsed < kAdjustInterval)
         return;
-    control.adjustedAt = now.steady;
-    std::size_t classes = prioritiesOf(*state.configuration.value).size();
-    constexpr double kThousandths = 1000.0;
-    AdmissionLimit& admission = state.membership.admission;
-    double turnedAway = adjustTurnedAway(state.loop, static_cast<double>(admission.turnedAwayThousandths) / kThousandths, static_cast<double>(classes));
-    Duration backlog = estimateBacklog(state, elapsed);
-    bool wasOpen = admission == AdmissionLimit {};
-    admission.turnedAwayThousandths = std::llround(turnedAway * kThousandths);
-    admission.backlog = admission.turnedAwayThousandths > 0 ? backlog : Duration(0);
-    if (!wasOpen || admission != AdmissionLimit {})
-        logAdjustment(state, admission, classes, actions);
+    if (now.steady < state.ownership.since + kSettlingTime) {
+        beginInterval(state, now.steady);
+        return;
+    }
+    AdmissionLimit& limit = state.membership.admission;
+    AdmissionLimit before = limit;
+    double classes = static_cast<double>(prioritiesOf(*state.configuration.value).size());
+    double accepted = classes - static_cast<double>(limit.turnedAwayThousandths) / kThousandths;
+    measureStartRate(state, elapsed);
+    Duration backlog = estimateBacklog(state);
+    accepted = std::clamp(adjustAccepted(state, accepted, backlog), kLeastAccepted, classes);
+    control.backlogBefore = backlog;
+    beginInterval(state, now.steady);
+    limit.turnedAwayThousandths = std::llround((classes - accepted) * kThousandths);
+    // Rounded, since each change is written to the store.
+    limit.backlog = limit.turnedAwayThousandths > 0 ? std::chrono::ceil<std::chrono::seconds>(backlog) : Duration(0);
+    if (limit != before)
+        logAdjustment(state, limit, actions);
 }
 
-/// A number from 0 to 1 that depends on the job alone.
+/// A number from 0 to 1 that depends on the job alone, and is the same on all instances: by the FNV-1a hash.
 static double rankInClass(const std::string& jobId)
 {
-    constexpr std::size_t kRanks = 1000;
-    return static_cast<double>(std::hash<std::string> {}(jobId) % kRanks) / kRanks;
+    constexpr std::uint64_t kOffset = 14695981039346656037ULL;
+    constexpr std::uint64_t kPrime = 1099511628211ULL;
+    constexpr std::uint64_t kRanks = 1000;
+    std::uint64_t hash = kOffset;
+    for (char c : jobId)
+        hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+    return static_cast<double>(hash % kRanks) / static_cast<double>(kRanks);
 }
 
 bool isTurnedAway(const CellState& state, const Route& route, const std::string& jobId)
@@ -106,7 +141,6 @@
     if (admission.turnedAwayThousandths <= 0)
         return false;
     std::set<int> priorities = prioritiesOf(*state.configuration.value);
-    constexpr double kThousandths = 1000.0;
     double turnedAway = static_cast<double>(admission.turnedAwayThousandths) / kThousandths;
     // The owner may have counted the classes of another version of the configuration.
     double accepted = std::max(kLeastAccepted, static_cast<double>(priorities.size()) - turnedAway);
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -253,8 +253,9 @@
 
 /// How the owner adjusts the admission of jobs.
 struct AdmissionControl {
-    TimePoint adjustedAt;
+    TimePoint adjustedAt; ///< TimePoint(): never.
     std::int64_t startsBefore { 0 }; ///< Number of starts at that time.
+    Duration backlogBefore { 0 };
     double startRate { 0.0 }; ///< Starts per second, smoothed.
     AdmissionLimit stored; ///< As the owner key says it.
 };
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -101,11 +101,13 @@
     return answer;
 }
 
-static EntryReply makeOverloaded(CellState& state)
+static void refuseOverload(CellState& state, const EntryRow& row, CellActions& actions)
 {
     EntryReply answer = makeReply(EntryOutcome::Overloaded, "the cell has more work than it can serve in time");
     answer.retryAfter = retryAfterOverload(state);
-    return answer;
+    std::string limit = std::to_string(state.membership.admission.turnedAwayThousandths);
+    logMessage(actions, LogLevel::Info, "entry.refuse", "", row.jobId, answer.reason + ": the owner turns away " + limit + " thousandths of a priority class; retry after " + std::to_string(toMilliseconds(answer.retryAfter)) + " ms");
+    reply(state, row.call.id, answer, actions);
 }
 
 /// Ends a call whose store or owner calls failed: refused, or "unknown" if it may have taken effect.
@@ -244,8 +246,12 @@
     if (!row)
         return;
     bool isSubmission = row->call.verb == Verb::Submit;
+    if (read.status == StoreStatus::NotFound && isSubmission) {
+        refuseOverload(state, *row, actions);
+        return;
+    }
     if (read.status == StoreStatus::NotFound) {
-        reply(state, id, isSubmission ? makeOverloaded(state) : makeReply(EntryOutcome::Gone), actions);
+        reply(state, id, makeReply(EntryOutcome::Gone), actions);
         return;
     }
     std::optional<JobState> ended = read.entries.empty() ? std::nullopt : parseEndedState(read.entries.front().value);
@@ -296,7 +302,7 @@
 }
 
 /// Turns the job away unless it is stored: an earlier call of the caller may have had no answer.
-static void turnAway(CellState& state, EntryRow& row, CellActions& actions)
+static void turnAwayUnlessStored(CellState& state, EntryRow& row, CellActions& actions)
 {
     CallId id = row.call.id;
     auto found = [id](CellState& s, const StoreReply&, const Instant&, CellActions& out) { reply(s, id, makeReply(EntryOutcome::Accepted), out); };
@@ -438,7 +444,7 @@
     bool isUndecided = row.call.verb == Verb::Submit && !row.maybeStored;
     const Route* route = isUndecided ? findRouteByName(*state.configuration.value, row.route) : nullptr;
     if (route && isTurnedAway(state, *route, row.jobId))
-        turnAway(state, row, actions);
+        turnAwayUnlessStored(state, row, actions);
     else if (row.call.verb == Verb::Submit)
         storeJob(state, row, now, actions);
     else if (row.call.verb == Verb::Cancel)
@@ -451,7 +457,7 @@
 
 namespace {
 
-enum class Admission {
+enum class Readiness {
     Decided, ///< By the current configuration, or by the last one while the store is away.
     Waits, ///< For the configuration to be confirmed.
     Refused, ///< It can't be confirmed now.
@@ -462,14 +468,14 @@
 /// Whether the call may be decided now. A configuration past its deadline may lack what allows the call, or allow what
 /// has been withdrawn, so it decides nothing. Only lookups go on while the store is away from the whole fleet, since
 /// no change is confirmed then.
-static Admission admit(const CellState& state, const EntryRow& row, bool isAllowed, TimePoint now)
+static Readiness admit(const CellState& state, const EntryRow& row, bool isAllowed, TimePoint now)
 {
     if (!state.configuration.value || isConfigurationCurrent(state, now))
-        return Admission::Decided;
+        return Readiness::Decided;
     if (isStoreReachable(state))
-        return Admission::Waits;
+        return Readiness::Waits;
     bool mayGoOn = isAllowed && row.call.verb == Verb::Lookup && isStoreAwayFromFleet(state, now);
-    return mayGoOn ? Admission::Decided : Admission::Refused;
+    return mayGoOn ? Readiness::Decided : Readiness::Refused;
 }
 
 /// Notes that the call is allowed by a configuration past its deadline.
@@ -484,11 +490,11 @@
 static void decide(CellState& state, EntryRow& row, const Instant& now, CellActions& actions)
 {
     std::optional<EntryReply> fault = checkCall(state, row);
-    Admission admission = admit(state, row, !fault, now.steady);
-    row.awaitsConfiguration = admission == Admission::Waits;
+    Readiness readiness = admit(state, row, !fault, now.steady);
+    row.awaitsConfiguration = readiness == Readiness::Waits;
     if (row.awaitsConfiguration)
         return;
-    if (admission == Admission::Refused)
+    if (readiness == Readiness::Refused)
         fault = makeRefusal("the configuration was last confirmed " + describeAge(state.configuration.confirmation, now.steady));
     if (fault) {
         logMessage(actions, LogLevel::Info, "entry.refuse", "", row.jobId, fault->reason);
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -228,9 +228,11 @@
         s.ownership.isWritingOwnerKey = false;
         if (reply.status != StoreStatus::Ok)
             return;
+        bool isLogged = isOwnerKeyMissing(s) || settled != s.ownership.isSettled;
         s.ownership.isSettled = settled;
         s.ownership.admission.stored = admission;
-        logMessage(out, LogLevel::Info, "ownership", "", "", "wrote the owner key again with token " + std::to_string(token) + (settled ? "; earlier owners send no orders any more" : ""));
+        if (isLogged)
+            logMessage(out, LogLevel::Info, "ownership", "", "", "wrote the owner key again with token " + std::to_string(token) + (settled ? "; earlier owners send no orders any more" : ""));
     };
     sendChange(state, std::move(command), then, actions);
 }
--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -111,6 +111,8 @@
     case wire::PeerMessage::kQueueNotice:
         decodeQueueNotice(state, message.queue_notice(), now, actions);
         return;
+    case wire::PeerMessage::BODY_NOT_SET: // Joined frames.
+        return;
     default:
         handleAnswer(state, message, now, actions);
     }
@@ -131,10 +133,7 @@
         else
             logMessage(actions, LogLevel::Warning, "peer.receive", frame.from, "", "malformed message of " + std::to_string(bytes.size()) + " bytes in a joined frame dropped");
     }
-    // The frame around joined ones answers no query.
-    bool isOnlyJoined = !message.frames().empty() && message.body_case() == wire::PeerMessage::BODY_NOT_SET;
-    if (!isOnlyJoined)
-        handleMessage(state, message, now, actions);
+    handleMessage(state, message, now, actions);
 }
 
 /// A query leaves at the end of the turn that makes it, and that turn may be longer than the timeout.
