--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -118,7 +118,8 @@
     beginInterval(state, now.steady);
     limit.turnedAwayThousandths = std::llround((classes - accepted) * kThousandths);
     // Rounded, since each change is written to the store.
-    limit.backlog = limit.turnedAwayThousandths > 0 ? std::chrono::ceil<std::chrono::seconds>(backlog) : Duration(0);
+    using HalfSeconds = std::chrono::duration<std::int64_t, std::ratio<1, 2>>;
+    limit.backlog = limit.turnedAwayThousandths > 0 ? std::chrono::round<HalfSeconds>(backlog) : Duration(0);
     if (limit != before)
         logAdjustment(state, limit, actions);
 }
--- a/src/cell/Delegation.cpp
+++ b/src/cell/Delegation.cpp
@@ -27,7 +27,6 @@
 static constexpr Duration kForwardingTime = std::chrono::milliseconds(300);
 /// Few delegates with many upstreams each take few frames; many lose less with one of them.
 static constexpr std::size_t kUpstreamsPerDelegate = 32;
-static constexpr int kFailedPollsUntilOwnPoll = 2; ///< Consecutive polls by delegates.
 static constexpr Duration kDelegateBackoff = std::chrono::milliseconds(3000); ///< For a delegate that did not answer.
 
 /// The polls of this many upstreams take the share of the processor that an owner spends on them.
--- a/src/cell/LoopDelay.cpp
+++ b/src/cell/LoopDelay.cpp
@@ -9,8 +9,8 @@
 /// below kOverloadDelay.
 static constexpr Duration kMostWeightOfTurn = std::chrono::milliseconds(200);
 static constexpr Duration kLongestDelayOfTurn = std::chrono::milliseconds(300);
-static constexpr Duration kOverloadDelay = std::chrono::milliseconds(120);
-static constexpr Duration kSlackDelay = std::chrono::milliseconds(60);
+static constexpr Duration kOverloadDelay = std::chrono::milliseconds(100);
+static constexpr Duration kSlackDelay = std::chrono::milliseconds(45);
 static constexpr Duration kIdleDelay = std::chrono::milliseconds(15);
 static constexpr int kPausePerDelay = 4; ///< Pause, as a multiple of the delay.
 /// Well below the leases of runs, which a poll renews.
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -4,6 +4,7 @@
 
 #include "src/cell/Commits.h"
 #include "src/cell/Declarations.h"
+#include "src/cell/Delegation.h"
 #include "src/cell/Fit.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Ownership.h"
@@ -117,11 +118,13 @@
 }
 
 /// Ends the runs of an unreachable upstream once all leases given to it have expired. A successor would have adopted the
-/// runs and renewed the leases, so that time alone proves nothing. A poll that is in flight tells how the runs ended: a busy
-/// owner may have its answer already, and not have read it.
+/// runs and renewed the leases, so that time alone proves nothing. Neither does a poll in flight, whose answer a busy owner may
+/// have and not have read, nor the failures of delegates, which may be late.
 static void endExpiredRuns(CellState& state, UpstreamRow& upstream, const Instant& now, CellActions& actions)
 {
-    bool isOutOfReach = upstream.failedPolls > 0 || upstream.isReplaced;
+    int failuresOfDelegates = state.delegation.isOn ? kFailedPollsUntilOwnPoll : 0;
+    bool hasOwnPollFailed = upstream.poll == 0 && upstream.failedPolls > failuresOfDelegates;
+    bool isOutOfReach = hasOwnPollFailed || upstream.isReplaced;
     if (upstream.runs.empty() || !isOutOfReach || !wasOwnerAt(state, upstream.leasesEnd))
         return;
     logMessage(actions, LogLevel::Warning, "upstream.lapse", upstream.entry.id, "", "the leases of " + std::to_string(upstream.runs.size()) + " runs expired; the runs count as ended; ownership last confirmed " + describeAge(state.membership.listing, now.steady));
