--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -103,7 +103,8 @@
     Duration elapsed = now.steady - control.adjustedAt;
     if (!isOwner(state) || !state.configuration.value || elapsed < kAdjustInterval)
         return;
-    if (now.steady < state.ownership.since + kSettlingTime) {
+    bool isFirst = control.adjustedAt == TimePoint();
+    if (isFirst || now.steady < state.ownership.since + kSettlingTime) {
         beginInterval(state, now.steady);
         return;
     }
--- a/tests/PeerCallsTest.cpp
+++ b/tests/PeerCallsTest.cpp
@@ -28,6 +28,9 @@
         cellwire::PeerMessage sent;
         BOOST_REQUIRE(sent.ParseFromString(std::get<SendPeerFrame>(actions.at(0)).bytes));
         call = sent.call();
+        // The query leaves at the end of a turn; its timeout begins with the next one.
+        runTurn(Duration(0));
+        runTurn(Duration(0));
     }
 
     cellwire::PeerMessage makeAnswer() const
@@ -49,6 +52,7 @@
         now.steady += later;
         CellActions actions;
         tickPeerCalls(state, now, actions);
+        tickFrames(state, now, actions);
     }
 
     Instant now { TimePoint(std::chrono::seconds(100)), 1000000 };
