--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -13,8 +13,6 @@
 static constexpr Duration kAdjustInterval = std::chrono::milliseconds(400);
 /// A busy owner with a longer backlog is overloaded, though its turns are not very late yet.
 static constexpr Duration kMostBacklog = std::chrono::milliseconds(800);
-/// More is accepted again only below this.
-static constexpr Duration kSmallBacklog = std::chrono::milliseconds(300);
 /// Each adjustment leaves at least and at most this share of what was accepted, unless the backlog shrinks.
 static constexpr double kLeastShareKept = 0.15;
 static constexpr double kMostShareKept = 0.6;
@@ -53,12 +51,12 @@
 static Duration estimateBacklog(const CellState& state)
 {
     std::chrono::duration<double> seconds(static_cast<double>(countWaitingTasks(state)) / std::max(1.0, state.ownership.admission.startRate));
-    return std::min(kMostRetryAfter, std::chrono::duration_cast<Duration>(seconds));
+    return std::chrono::duration_cast<Duration>(seconds);
 }
 
 static bool mustAcceptLess(const CellState& state, Duration backlog)
 {
-    bool isFallingBehind = !isMostlyIdle(state.loop) && backlog > kMostBacklog;
+    bool isFallingBehind = !hasSlack(state.loop) && backlog > kMostBacklog;
     return isOverloaded(state.loop) || isFallingBehind;
 }
 
@@ -66,11 +64,10 @@
 {
     if (mustAcceptLess(state, backlog)) {
         bool isShrinking = backlog < state.ownership.admission.backlogBefore;
-        double share = std::chrono::duration<double>(kMostBacklog) / std::chrono::duration<double>(std::max(backlog, kSmallBacklog));
+        double share = std::chrono::duration<double>(kMostBacklog) / std::chrono::duration<double>(std::max(backlog, kMostBacklog));
         return isShrinking ? accepted : accepted * std::clamp(share, kLeastShareKept, kMostShareKept);
     }
-    bool hasRoom = isMostlyIdle(state.loop) || (hasSlack(state.loop) && backlog < kSmallBacklog);
-    return hasRoom ? accepted + std::max(kIncrease, accepted * kIncreaseShare) : accepted;
+    return hasSlack(state.loop) ? accepted + std::max(kIncrease, accepted * kIncreaseShare) : accepted;
 }
 
 /// Updates the rate of starts.
--- a/src/cell/Delegation.cpp
+++ b/src/cell/Delegation.cpp
@@ -79,10 +79,15 @@
 
     void operator()(UpstreamPoll& poll)
     {
-        if (isOwnPollDue(poll.target.id))
-            m_out.push_back(std::move(poll));
-        else
+        UpstreamRow* upstream = findUpstream(poll.target.id);
+        if (!upstream || upstream->failedPolls < kFailedPollsUntilOwnPoll) {
             delegate(poll, poll.wait + kPollMargin, handlePollAnswer);
+            return;
+        }
+        // A delegate that is late, or cut off from the upstream, is no dead upstream, whose runs would be started again. The
+        // first failure may only be that of a new delegate, which has no connection yet.
+        upstream->delegate.clear();
+        m_out.push_back(std::move(poll));
     }
     void operator()(RunStart& order) { delegate(order, kOrderTimeout, handleOrderAnswer); }
     void operator()(RunStop& order) { delegate(order, kOrderTimeout, handleOrderAnswer); }
@@ -107,12 +112,10 @@
         handleOrderResult(state, answer ? decodeOrderResult(*answer, ticket) : none, now, actions);
     }
 
-    /// A delegate that is late is no dead upstream, whose runs would be started again. The first failure may only be that of
-    /// a new delegate, which has no connection yet.
-    bool isOwnPollDue(const std::string& upstream) const
+    UpstreamRow* findUpstream(const std::string& id)
     {
-        auto it = m_state.upstreams.find(upstream);
-        return it != m_state.upstreams.end() && it->second.failedPolls >= kFailedPollsUntilOwnPoll;
+        auto it = m_state.upstreams.find(id);
+        return it == m_state.upstreams.end() ? nullptr : &it->second;
     }
 
     bool isDelegate(const std::string& address) const
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -438,10 +438,19 @@
     return std::nullopt;
 }
 
+/// True if an unanswered call may have stored the job, or does so now.
+static bool mayBeStored(const CellState& state, const std::string& jobId)
+{
+    return std::any_of(state.entries.begin(), state.entries.end(), [&jobId](const auto& item) {
+        const EntryRow& row = item.second;
+        return row.jobId == jobId && row.call.verb == Verb::Submit && (row.maybeStored || row.isStoring);
+    });
+}
+
 static void serve(CellState& state, EntryRow& row, const Instant& now, CellActions& actions)
 {
     row.retrying = false;
-    bool isUndecided = row.call.verb == Verb::Submit && !row.maybeStored;
+    bool isUndecided = row.call.verb == Verb::Submit && !mayBeStored(state, row.jobId);
     const Route* route = isUndecided ? findRouteByName(*state.configuration.value, row.route) : nullptr;
     if (route && isTurnedAway(state, *route, row.jobId))
         turnAwayUnlessStored(state, row, actions);
--- a/src/cell/LoopDelay.cpp
+++ b/src/cell/LoopDelay.cpp
@@ -11,7 +11,6 @@
 static constexpr Duration kLongestDelayOfTurn = std::chrono::milliseconds(300);
 static constexpr Duration kOverloadDelay = std::chrono::milliseconds(100);
 static constexpr Duration kSlackDelay = std::chrono::milliseconds(45);
-static constexpr Duration kIdleDelay = std::chrono::milliseconds(15);
 static constexpr int kPausePerDelay = 4; ///< Pause, as a multiple of the delay.
 /// Well below the leases of runs, which a poll renews.
 static constexpr Duration kLongestPause = std::chrono::milliseconds(1000);
@@ -29,8 +28,6 @@
 
 bool hasSlack(const LoopDelay& loop) { return loop.smoothed < kSlackDelay; }
 
-bool isMostlyIdle(const LoopDelay& loop) { return loop.smoothed < kIdleDelay; }
-
 Duration pauseInOverload(const LoopDelay& loop)
 {
     return hasSlack(loop) ? Duration(0) : std::min(kLongestPause, loop.smoothed * kPausePerDelay);
--- a/src/cell/LoopDelay.h
+++ b/src/cell/LoopDelay.h
@@ -21,8 +21,6 @@
 bool isOverloaded(const LoopDelay&);
 /// There is time for more work.
 bool hasSlack(const LoopDelay&);
-/// There is time for much more work.
-bool isMostlyIdle(const LoopDelay&);
 
 /// A pause for work that can be put off, here the next poll of an upstream. None while the event loop has slack.
 Duration pauseInOverload(const LoopDelay&);
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -36,8 +36,10 @@
 static constexpr int kMaxPreemptionsPerTask = 1;
 /// A search visits all runs, so a backlog of searches would take all of the owner's time.
 static constexpr int kMaxVictimSearchesPerPass = 8;
-/// The orders of one pass are sent in one turn of the event loop, which must not take long. A gang is started whole.
+/// The orders of one pass are sent in one turn of the event loop, which must not take long. A step is started whole, and the
+/// next pass follows sooner.
 static constexpr std::int64_t kMaxStartsPerPass = 80;
+static constexpr int kPauseDivisor = 4; ///< Of the pause after a pass that was cut short.
 /// Allows for a stop order that has to be resent.
 static constexpr Duration kReservationSlack = std::chrono::milliseconds(200);
 /// On/off interval of a limit reservation, and how long it outlasts the wait for the limit.
@@ -315,16 +317,19 @@
     LargestRoom largest = findLargestRoom(pass.open);
     renewReservations(candidates, pass.reservations, now.steady);
     std::int64_t startsBefore = state.counters.get("task_starts_total");
+    bool isCutShort = false;
     for (const Candidate& candidate : candidates) {
         if (state.counters.get("task_starts_total") - startsBefore >= kMaxStartsPerPass) {
             state.placementDue = true;
+            isCutShort = true;
             break;
         }
         removeReservations(pass.reservations, rowOf(candidate).reservations);
         if (mayFit(largest, pass.open, candidate))
             placeCandidate(state, candidate, pass, now, actions);
     }
-    state.nextPlacement = now.steady + pauseAfter(state, candidates.size(), state.examinedPairs - pairsBefore);
+    Duration pause = pauseAfter(state, candidates.size(), state.examinedPairs - pairsBefore);
+    state.nextPlacement = now.steady + (isCutShort ? std::max(kPassInterval, pause / kPauseDivisor) : pause);
 }
 
 } // namespace crocuslever::cell
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -19,8 +19,6 @@
 /// Between passes over all upstreams: this, and more for each upstream, so that passes take a bounded share of the time.
 static constexpr Duration kScanInterval = std::chrono::milliseconds(3);
 static constexpr Duration kScanIntervalPerUpstream = std::chrono::microseconds(10);
-/// The polls of one pass are sent in one turn of the event loop, which must not take long.
-static constexpr int kMaxPollsPerScan = 100;
 static constexpr Duration kPollWait = std::chrono::milliseconds(1000); ///< Long poll; an upstream answers earlier if a run ends.
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(200);
 static constexpr Duration kUnstoredEndsInterval = std::chrono::milliseconds(50); ///< Between polls while run ends are not stored yet.
@@ -165,7 +163,6 @@
     if (now.steady < ownership.nextUpstreamScan)
         return;
     ownership.nextUpstreamScan = now.steady + kScanInterval + static_cast<std::int64_t>(state.upstreams.size()) * kScanIntervalPerUpstream;
-    int polls = 0;
     for (auto it = state.upstreams.begin(); it != state.upstreams.end();) {
         UpstreamRow& upstream = it->second;
         endExpiredRuns(state, upstream, now, actions);
@@ -181,10 +178,8 @@
         bool isLost = !upstream.listed && upstream.runs.empty() && !upstream.lapsedRuns.empty();
         bool isPolled = !upstream.isReplaced && !isLost;
         bool isDue = isPolled && upstream.poll == 0 && now.steady >= upstream.nextPoll;
-        if (isDue && polls < kMaxPollsPerScan && mayIssueOrders(state, now.steady)) {
+        if (isDue && mayIssueOrders(state, now.steady))
             sendPoll(state, upstream, now, actions);
-            ++polls;
-        }
         ++it;
     }
     updateEarlierRunsKnown(state, actions);
