--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -11,7 +11,8 @@
 
 /// Between two adjustments. The effect of one shows once its record is listed and earlier jobs have been worked off.
 static constexpr Duration kAdjustInterval = std::chrono::milliseconds(400);
-/// A busy owner with a longer backlog is overloaded, though its turns are not very late yet.
+/// An owner whose turns are this late is overloaded if its backlog is longer than kMostBacklog, too.
+static constexpr Duration kBusyDelay = std::chrono::milliseconds(70);
 static constexpr Duration kMostBacklog = std::chrono::milliseconds(800);
 /// Each adjustment leaves at least and at most this share of what was accepted, unless the backlog shrinks.
 static constexpr double kLeastShareKept = 0.15;
@@ -56,7 +57,7 @@
 
 static bool mustAcceptLess(const CellState& state, Duration backlog)
 {
-    bool isFallingBehind = !hasSlack(state.loop) && backlog > kMostBacklog;
+    bool isFallingBehind = state.loop.smoothed > kBusyDelay && backlog > kMostBacklog;
     return isOverloaded(state.loop) || isFallingBehind;
 }
 
