--- a/review/standin-2/Cell.h
+++ b/review/standin-2/Cell.h
@@ -763,6 +763,9 @@
         m_record.note(m_name + (hasEnded ? " has ended by itself, status " + std::to_string(status) : " is killed by the platform: it holds " + std::to_string(used) + " MB, the limit is " + std::to_string(limitMb) + " MB"));
     }
 
+    /// By the metrics of the settings.
+    bool isOwner() { return call(m_metrics, "GET", "/metrics", { { "Host", "x" } }, "", 500).body.find("owner 1\n") != std::string::npos; }
+
     bool isReady() { return call(m_ready, "GET", "/-/ready", { { "Host", "x" } }, "", 500).status == 200; }
 
 private:
@@ -865,11 +868,11 @@
         return false;
     }
 
-    Answer send(const std::string& method, const std::string& path, const std::string& body, std::size_t instance, bool isNoted = true)
+    Answer send(const std::string& method, const std::string& path, const std::string& body, std::size_t instance, bool isNoted = true, std::int64_t timeoutMs = 3000)
     {
         std::map<std::string, std::string> headers { { "Host", "desk.example" }, { "Authorization", "Token key-of-the-team" }, { "X-Deadline-Ms", "3000" }, { "Content-Type", "application/json" } };
         Instance& to = *instances[instance % instances.size()];
-        Answer answer = call(to.front(), method, path, headers, body, 3000);
+        Answer answer = call(to.front(), method, path, headers, body, timeoutMs);
         if (isNoted)
             record.note("client: " + method + " " + path + (body.empty() ? "" : " " + body) + " at " + to.name() + " -> " + std::to_string(answer.status) + " " + answer.body);
         return answer;
