--- a/review/standin-2/Http.h
+++ b/review/standin-2/Http.h
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <random>
+#include <set>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -65,13 +66,14 @@
 inline std::string freeAddress()
 {
     static std::mt19937 random(std::random_device {}());
+    static std::set<std::string> given;
     for (;;) {
         std::string address = "127.0.0.1:" + std::to_string(15000 + random() % 17000);
         int fd = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in in = addressOf(address);
         bool isFree = ::bind(fd, reinterpret_cast<sockaddr*>(&in), sizeof in) == 0;
         ::close(fd);
-        if (isFree)
+        if (isFree && given.insert(address).second)
             return address;
     }
 }
