--- a/review/standin-2/Cell.h
+++ b/review/standin-2/Cell.h
@@ -415,12 +415,14 @@
     void cut()
     {
         m_isCut = true;
+        m_server->setDeaf(true);
         m_record.note("worker " + m_id + " is cut off");
     }
 
     void heal()
     {
         m_isCut = false;
+        m_server->setDeaf(false);
         m_record.note("worker " + m_id + " is reachable again");
     }
 
@@ -858,7 +860,11 @@
         m_supervisor = std::thread([this] { supervise(); });
         std::int64_t end = steadyMs() + 20000;
         while (isOpen && steadyMs() < end) {
-            if (std::all_of(instances.begin(), instances.end(), [](auto& it) { return it->isReady(); })) {
+            {
+                std::lock_guard<std::mutex> lock(processes);
+                isOpen = std::none_of(instances.begin(), instances.end(), [](auto& it) { return it->endedByItself() > 0; });
+            }
+            if (isOpen && std::all_of(instances.begin(), instances.end(), [](auto& it) { return it->isReady(); })) {
                 sleepMs(3000);
                 return true;
             }
--- a/review/standin-2/Http.h
+++ b/review/standin-2/Http.h
@@ -14,8 +14,6 @@
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
-#include <random>
-#include <set>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -62,20 +60,24 @@
     return in;
 }
 
-/// A loopback address whose port is free now, below the ports that the system gives to outgoing connections.
+/// A loopback address whose port is free now, below the ports that the system gives to outgoing connections. Cases that run
+/// beside each other take theirs from different ranges.
 inline std::string freeAddress()
 {
-    static std::mt19937 random(std::random_device {}());
-    static std::set<std::string> given;
-    for (;;) {
-        std::string address = "127.0.0.1:" + std::to_string(15000 + random() % 17000);
+    constexpr int kFirst = 15000;
+    constexpr int kRanges = 84;
+    constexpr int kRange = 200;
+    static int next = 0;
+    while (next < kRange) {
+        std::string address = "127.0.0.1:" + std::to_string(kFirst + ::getpid() % kRanges * kRange + next++);
         int fd = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in in = addressOf(address);
         bool isFree = ::bind(fd, reinterpret_cast<sockaddr*>(&in), sizeof in) == 0;
         ::close(fd);
-        if (isFree && given.insert(address).second)
+        if (isFree)
             return address;
     }
+    return "127.0.0.1:0";
 }
 
 /// Reads HTTP messages from a socket.
@@ -163,7 +165,7 @@
         int on = 1;
         ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         sockaddr_in in = addressOf(address);
-        m_isOpen = ::bind(m_listener, reinterpret_cast<sockaddr*>(&in), sizeof in) == 0 && ::listen(m_listener, 512) == 0;
+        m_isOpen = ::bind(m_listener, reinterpret_cast<sockaddr*>(&in), sizeof in) == 0 && ::listen(m_listener, kBacklog) == 0;
         m_thread = std::thread([this] { accept(); });
     }
 
@@ -190,12 +192,21 @@
             it.join();
     }
 
-    bool isStopped() const { return m_stopped; }
+    /// While deaf, the server takes no connection: once the queue of its listener is full, new ones hang as behind a cut.
+    void setDeaf(bool isDeaf)
+    {
+        m_isDeaf = isDeaf;
+        ::listen(m_listener, isDeaf ? 0 : kBacklog);
+    }
 
 private:
     void accept()
     {
         while (!m_stopped) {
+            if (m_isDeaf) {
+                sleepMs(2);
+                continue;
+            }
             int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0) {
                 if (m_stopped)
@@ -203,6 +214,8 @@
                 sleepMs(5);
                 continue;
             }
+            while (m_isDeaf && !m_stopped)
+                sleepMs(2);
             std::lock_guard<std::mutex> lock(m_mutex);
             m_open.push_back(fd);
             m_threads.emplace_back([this, fd] { serve(fd); });
@@ -247,7 +260,10 @@
         }
     }
 
+    static constexpr int kBacklog = 512;
+
     Handler m_handler;
+    std::atomic<bool> m_isDeaf { false };
     int m_listener { -1 };
     bool m_isOpen { false };
     std::atomic<bool> m_stopped { false };
