Move HttpStream and the form of requests out of HttpClient.cpp

HttpRequest.h now names requests and replies without Beast, HttpMessage turns them into Beast's, and HttpStream has files of its own. No logic changed.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "src/http/Endpoint.h"
+#include "src/http/HttpMessage.h"
 
 namespace crocuslever {
 
@@ -29,27 +30,6 @@
 static constexpr Duration kUnreadInterval = std::chrono::milliseconds(10);
 static constexpr int kMostPutOff = 100; ///< Times that a timeout is put off.
 
-static Request makeRequest(const HttpRequest& request, const std::string& host)
-{
-    constexpr int kHttp11 = 11;
-    Request message(http::string_to_verb(request.method), request.target, kHttp11);
-    message.set(http::field::host, host);
-    if (!request.body.empty())
-        message.set(http::field::content_type, "application/json");
-    if (!request.bearerToken.empty())
-        message.set(http::field::authorization, "Bearer " + request.bearerToken);
-    for (const auto& [name, value] : request.headers)
-        message.set(name, value);
-    message.body() = request.body;
-    message.prepare_payload();
-    return message;
-}
-
-static Error makeError(ErrorCode code, const HttpRequest& request, const std::string& peer, const error_code& ec)
-{
-    return Error { code, "http " + request.target, peer, ec.message() };
-}
-
 static ErrorCode toErrorCode(const error_code& ec)
 {
     return ec == http::error::body_limit ? ErrorCode::TooLarge : ErrorCode::Unknown;
@@ -158,7 +138,7 @@
         ConnectionPtr connection = std::make_shared<Connection>(m_io);
         assign(connection, std::move(call));
         if (connection->call.request.requireReusedConnection)
-            finish(connection, makeError(ErrorCode::Unavailable, connection->call.request, currentEndpoint(), asio::error::not_connected));
+            finish(connection, makeHttpError(ErrorCode::Unavailable, connection->call.request, currentEndpoint(), asio::error::not_connected));
         else
             connect(connection);
     }
@@ -255,7 +235,7 @@
         advanceEndpoint(connection->peer);
         bool isLast = ++connection->call.endpointsTried >= m_settings.endpoints.size();
         if (isLast || m_stopped || ec == beast::error::timeout) {
-            finish(connection, makeError(ErrorCode::Unavailable, connection->call.request, connection->peer, ec));
+            finish(connection, makeHttpError(ErrorCode::Unavailable, connection->call.request, connection->peer, ec));
             return;
         }
         connection->stream.close();
@@ -266,7 +246,7 @@
     {
         if (m_stopped)
             return;
-        connection->request = makeRequest(connection->call.request, connection->peer);
+        connection->request = makeMessage(connection->call.request, connection->peer);
         error_code ec;
         connection->stream.socket().set_option(tcp::no_delay(true), ec);
         http::async_write(connection->stream, *connection->request, [self = shared_from_this(), connection](error_code ec, std::size_t) {
@@ -359,7 +339,7 @@
         ErrorCode code = toErrorCode(ec);
         if (code != ErrorCode::TooLarge)
             advanceEndpoint(connection->peer);
-        finish(connection, makeError(code, connection->call.request, connection->peer, ec));
+        finish(connection, makeHttpError(code, connection->call.request, connection->peer, ec));
     }
 
     void finishRead(const ConnectionPtr& connection)
@@ -421,138 +401,4 @@
 
 std::uint64_t HttpClient::calls() const { return m_impl->calls(); }
 
-class HttpStream::Impl : public std::enable_shared_from_this<HttpStream::Impl> {
-public:
-    Impl(asio::io_context& io, HttpStreamSettings settings, HttpRequest request, LineHandler onLine, EndHandler onEnd)
-        : m_stream(io)
-        , m_settings(std::move(settings))
-        , m_request(std::move(request))
-        , m_onLine(std::move(onLine))
-        , m_onEnd(std::move(onEnd))
-    {
-        m_parser.body_limit(boost::none);
-    }
-
-    void open()
-    {
-        std::optional<tcp::endpoint> endpoint = parseEndpoint(m_settings.endpoint);
-        if (!endpoint) {
-            asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->end(ErrorCode::Unavailable, asio::error::invalid_argument); });
-            return;
-        }
-        m_stream.expires_after(m_settings.openTimeout);
-        m_stream.async_connect(*endpoint, [self = shared_from_this()](error_code ec) {
-            if (ec)
-                self->end(ErrorCode::Unavailable, ec);
-            else
-                self->write();
-        });
-    }
-
-    void stop()
-    {
-        m_ended = true;
-        m_stream.close();
-    }
-
-private:
-    void write()
-    {
-        if (m_ended)
-            return;
-        m_message = makeRequest(m_request, m_settings.endpoint);
-        http::async_write(m_stream, m_message, [self = shared_from_this()](error_code ec, std::size_t) {
-            if (ec)
-                self->end(ErrorCode::Unknown, ec);
-            else
-                self->readHeader();
-        });
-    }
-
-    void readHeader()
-    {
-        http::async_read_header(m_stream, m_buf, m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
-            if (ec)
-                self->end(ErrorCode::Unknown, ec);
-            else
-                self->checkStatus();
-        });
-    }
-
-    void checkStatus()
-    {
-        if (m_ended)
-            return;
-        if (m_parser.get().result() == http::status::ok)
-            readSome();
-        else
-            end(ErrorCode::Unknown, http::make_error_code(http::error::bad_status));
-    }
-
-    void readSome()
-    {
-        m_stream.expires_after(m_settings.silenceTimeout);
-        http::async_read_some(m_stream, m_buf, m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
-            self->handleBody(ec);
-        });
-    }
-
-    void handleBody(const error_code& ec)
-    {
-        if (m_ended)
-            return;
-        m_text += m_parser.get().body();
-        m_parser.get().body().clear();
-        deliverLines();
-        if (m_ended)
-            return;
-        if (ec)
-            end(ErrorCode::Unknown, ec);
-        else if (m_parser.is_done())
-            end(ErrorCode::Unknown, http::make_error_code(http::error::end_of_stream));
-        else if (m_text.size() > m_settings.maximumLineBytes)
-            end(ErrorCode::TooLarge, http::make_error_code(http::error::body_limit));
-        else
-            readSome();
-    }
-
-    void deliverLines()
-    {
-        std::size_t begin = 0;
-        for (std::size_t n = m_text.find('\n'); n != std::string::npos && !m_ended; n = m_text.find('\n', begin)) {
-            std::string line = m_text.substr(begin, n - begin);
-            begin = n + 1;
-            m_onLine(line);
-        }
-        m_text.erase(0, begin);
-    }
-
-    void end(ErrorCode code, const error_code& ec)
-    {
-        if (m_ended)
-            return;
-        stop();
-        m_onEnd(makeError(code, m_request, m_settings.endpoint, ec));
-    }
-
-    beast::tcp_stream m_stream;
-    beast::flat_buffer m_buf;
-    HttpStreamSettings m_settings;
-    HttpRequest m_request;
-    LineHandler m_onLine;
-    EndHandler m_onEnd;
-    Request m_message;
-    Parser m_parser;
-    std::string m_text; ///< Received text that is not yet a complete line.
-    bool m_ended { false };
-};
-
-HttpStream::HttpStream(asio::io_context& io, HttpStreamSettings settings, HttpRequest request, LineHandler onLine, EndHandler onEnd)
-    : m_impl(std::make_shared<Impl>(io, std::move(settings), std::move(request), std::move(onLine), std::move(onEnd)))
-{
-    m_impl->open();
-}
-
-HttpStream::~HttpStream() { m_impl->stop(); }
-
 } // namespace crocuslever
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -5,30 +5,14 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "crocuslever/Error.h"
 #include "crocuslever/Time.h"
+#include "src/http/HttpRequest.h"
 
 namespace crocuslever {
 
-struct HttpRequest {
-    std::string method { "POST" };
-    std::string target;
-    std::string body; ///< JSON; may be empty.
-    std::string bearerToken {}; ///< Sent as "Authorization: Bearer"; empty sends no such header.
-    std::vector<std::pair<std::string, std::string>> headers {}; ///< Additional headers.
-    Duration timeout { 0 }; ///< 0 uses the client's timeout.
-    bool requireReusedConnection { false }; ///< Fails with Unavailable if no idle connection can be reused.
-};
-
-/// A complete answer with any status.
-struct HttpReply {
-    int status { 0 };
-    std::string body;
-};
-
 using HttpHandler = std::function<void(Result<HttpReply>)>;
 
 struct HttpClientSettings {
@@ -65,29 +49,4 @@
     std::shared_ptr<Impl> m_impl;
 };
 
-struct HttpStreamSettings {
-    std::string endpoint; ///< "IP:port"
-    Duration openTimeout { std::chrono::seconds(2) }; ///< From the connect to the answer's header.
-    Duration silenceTimeout { std::chrono::seconds(5) }; ///< The stream ends after this time without data.
-    std::size_t maximumLineBytes { 16777216 };
-};
-
-/// A call whose answer is an unbounded stream of lines. The end handler is called once, when the
-/// stream fails or ends.
-class HttpStream {
-public:
-    using LineHandler = std::function<void(const std::string&)>;
-    using EndHandler = std::function<void(const Error&)>;
-
-    HttpStream(boost::asio::io_context&, HttpStreamSettings, HttpRequest, LineHandler, EndHandler);
-    /// Closes the connection; no handler is called afterwards.
-    ~HttpStream();
-    HttpStream(const HttpStream&) = delete;
-    HttpStream& operator=(const HttpStream&) = delete;
-
-private:
-    class Impl;
-    std::shared_ptr<Impl> m_impl;
-};
-
 } // namespace crocuslever
--- a/src/store/StoreWatcher.h
+++ b/src/store/StoreWatcher.h
@@ -8,7 +8,7 @@
 
 #include "crocuslever/Events.h"
 #include "crocuslever/StoreProtocol.h"
-#include "src/http/HttpClient.h"
+#include "src/http/HttpStream.h"
 #include "src/store/StoreClient.h"
 #include "src/store/StoreJson.h"
 
