Limit how long an order waits for a connection

Cause: a request's timeout began once it had a connection. Orders to a silent upstream waited in HttpClient without a limit, 15 a second left the queue, and nothing removed one when its run was given up. What was left was sent as the cut ended, after the tasks had been started elsewhere, and the new incarnation took it: its clock had started over, so that the expiry in the order lay far ahead.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -42,6 +43,7 @@
     HttpRequest request;
     HttpHandler handler;
     std::size_t endpointsTried { 0 };
+    std::optional<Clock::time_point> queueEnd {}; ///< A call that still waits for a connection then fails.
 };
 
 struct Connection {
@@ -83,6 +85,7 @@
     Impl(asio::io_context& io, HttpClientSettings settings)
         : m_io(io)
         , m_settings(std::move(settings))
+        , m_queueTimer(io)
     {
     }
 
@@ -95,7 +98,10 @@
             startOn(connection, std::move(call));
             return;
         }
+        if (call.request.queueTimeout > Duration(0))
+            call.queueEnd = Clock::now() + call.request.queueTimeout;
         m_waiting.push_back(std::move(call));
+        watchQueue();
         asio::post(m_io, [self = shared_from_this()] { self->startWaitingCalls(); });
     }
 
@@ -103,6 +109,7 @@
     {
         m_stopped = true;
         m_waiting.clear();
+        m_queueTimer.cancel();
         m_idle.clear();
         for (const ConnectionPtr& connection : m_busy) {
             connection->timer.cancel();
@@ -119,6 +126,42 @@
 
     bool hasRoom() const { return m_busy.size() < m_settings.maximumConnections; }
 
+    /// Sets the timer to the earliest end of a wait in the queue, if there is one.
+    void watchQueue()
+    {
+        if (m_isQueueWatched)
+            return;
+        std::optional<Clock::time_point> earliest;
+        for (const Call& it : m_waiting) {
+            if (it.queueEnd)
+                earliest = std::min(earliest.value_or(*it.queueEnd), *it.queueEnd);
+        }
+        if (!earliest)
+            return;
+        m_isQueueWatched = true;
+        m_queueTimer.expires_at(*earliest);
+        m_queueTimer.async_wait([self = shared_from_this()](error_code ec) {
+            self->m_isQueueWatched = false;
+            if (!ec && !self->m_stopped)
+                self->failOverdueCalls();
+        });
+    }
+
+    /// What a call would do may be undone or done elsewhere by the time that a silent server is back.
+    void failOverdueCalls()
+    {
+        Clock::time_point now = Clock::now();
+        auto isInTime = [now](const Call& it) { return !it.queueEnd || now < *it.queueEnd; };
+        auto begin = std::stable_partition(m_waiting.begin(), m_waiting.end(), isInTime);
+        std::vector<Call> overdue(std::make_move_iterator(begin), std::make_move_iterator(m_waiting.end()));
+        m_waiting.erase(begin, m_waiting.end());
+        watchQueue();
+        for (Call& call : overdue) {
+            if (!m_stopped)
+                call.handler(makeHttpError(ErrorCode::Unavailable, call.request, currentEndpoint(), asio::error::timed_out));
+        }
+    }
+
     void startWaitingCalls()
     {
         while (!m_stopped && !m_waiting.empty() && hasRoom()) {
@@ -377,6 +420,8 @@
     asio::io_context& m_io;
     HttpClientSettings m_settings;
     std::deque<Call> m_waiting;
+    asio::steady_timer m_queueTimer; ///< For the calls that wait no longer than a limit.
+    bool m_isQueueWatched { false };
     std::vector<ConnectionPtr> m_idle;
     std::vector<ConnectionPtr> m_busy;
     std::vector<ConnectionPtr> m_opening; ///< Without a call yet.
--- a/src/http/HttpRequest.h
+++ b/src/http/HttpRequest.h
@@ -15,6 +15,7 @@
     std::string bearerToken {}; ///< Sent as "Authorization: Bearer"; empty sends no such header.
     std::vector<std::pair<std::string, std::string>> headers {}; ///< Additional headers.
     Duration timeout { 0 }; ///< 0 uses the client's timeout.
+    Duration queueTimeout { 0 }; ///< Fails with Unavailable if no connection is free within it; 0: waits without limit.
     bool requireReusedConnection { false }; ///< Fails with Unavailable if no idle connection can be reused.
 };
 
