Hold rows only for the occurrences of a job that are due

Cause: makeRow() made a row of 264 bytes for each task of each occurrence as the job was read, 1,935,360 here, and nothing at the submission compared what a job asks for with what an owner can hold. Its progress named each task that was done, so that it would have outgrown a value of the store later.

Change: an occurrence opens when it is due, or when a stored progress or a run on an upstream names it, and its rows go when it is complete; the progress record then holds its number. One job has at most 10,000 open tasks and all jobs 100,000, above which later occurrences wait and the cell turns submissions away. More than 10,000 tasks in an occurrence (their progress wouldn't fit into a value of the store), 100,000 occurrences or a negative interval are answered with 400; max-runs above 100,000 was cut to it without a word.

--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdint>
 
+#include "src/cell/Occurrences.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/StoreCalls.h"
 
@@ -58,7 +59,9 @@
 static bool mustAcceptLess(const CellState& state, Duration backlog)
 {
     bool isFallingBehind = state.loop.smoothed > kBusyDelay && backlog > kMostBacklog;
-    return isOverloaded(state.loop) || isFallingBehind;
+    // The memory of the owner is bounded, too.
+    bool isTableFull = state.ownership.openTasks > kMaxOpenTasks;
+    return isOverloaded(state.loop) || isFallingBehind || isTableFull;
 }
 
 static double adjustAccepted(const CellState& state, double accepted, Duration backlog)
--- a/src/cell/Advice.cpp
+++ b/src/cell/Advice.cpp
@@ -186,7 +186,7 @@
     JobRow* job = findJob(state, question.step.job);
     if (!job || !findTask(state, first))
         return;
-    StepAdvice& advice = job->occurrences[first.occurrence].steps[first.step].advice;
+    StepAdvice& advice = job->occurrences.at(first.occurrence).steps[first.step].advice;
     if (advice.question != question.ticket)
         return;
     advice.question = 0;
@@ -239,7 +239,7 @@
 bool askForAdvice(CellState& state, const AdviceNeed& need, const std::vector<RankedUpstream>& byRoom, const std::vector<Adviser>& advisers, const Instant& now, CellActions& actions)
 {
     JobRow& job = *findJob(state, need.step.job);
-    StepRow& row = job.occurrences[need.step.occurrence].steps[need.step.step];
+    StepRow& row = job.occurrences.at(need.step.occurrence).steps[need.step.step];
     if (row.advice.question != 0 || now.steady < row.advice.nextQuestion)
         return true;
     const Adviser* adviser = chooseAdviser(state, *need.route, advisers);
--- a/src/cell/Candidate.cpp
+++ b/src/cell/Candidate.cpp
@@ -12,7 +12,7 @@
 
 StepRow& rowOf(const Candidate& candidate)
 {
-    return candidate.job->occurrences[candidate.step.occurrence].steps[candidate.step.step];
+    return candidate.job->occurrences.at(candidate.step.occurrence).steps[candidate.step.step];
 }
 
 const StepSpec& specOf(const Candidate& candidate) { return specOf(*candidate.job, candidate.step); }
@@ -38,10 +38,9 @@
         return;
     Timeliness timeliness = classifyTimeliness(job, *route, now.wallMs);
     bool mayPreempt = timeliness == Timeliness::InTime;
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        std::vector<StepRow>& steps = job.occurrences[k].steps;
+    for (const auto& [occurrence, row] : job.occurrences) {
+        const std::vector<StepRow>& steps = row.steps;
         for (std::size_t s = 0; s < steps.size(); ++s) {
-            int occurrence = static_cast<int>(k);
             int step = static_cast<int>(s);
             if (steps[s].waiting == 0 || !isStepReady(state, job, occurrence, step, now.wallMs))
                 continue;
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -99,14 +99,16 @@
 
 struct OccurrenceRow {
     std::vector<StepRow> steps;
-    bool done { false };
 };
 
 struct JobRow {
     JobRecord record;
     StoreRevision revision { 0 }; ///< Revision of the job's record in the store.
-    std::vector<OccurrenceRow> occurrences;
-    int waiting { 0 }; ///< Waiting tasks of all steps.
+    /// By number. Of a scheduled job only those that are due, or have begun, and are not complete: memory follows what is due.
+    std::map<int, OccurrenceRow> occurrences;
+    int nextOccurrence { 0 }; ///< The first that has not become due yet.
+    CompletedOccurrences completed;
+    int waiting { 0 }; ///< Waiting tasks of all steps of these occurrences.
     Duration estimatedCriticalPath { 0 }; ///< Length of the critical path by the submitter's estimates.
     bool hasStarted { false }; ///< True once any task has started.
     bool mayHaveProgress { false }; ///< True if the store may hold a progress record.
@@ -296,6 +298,8 @@
     Confirmation directory; ///< Of the upstreams' directory entries.
     int directoryFailures { 0 }; ///< Consecutive readings without a usable answer.
     bool startsWithoutStore { false }; ///< The latest placement pass relied on an outage of the store.
+    std::int64_t openTasks { 0 }; ///< Tasks of all occurrences that the owner holds rows for.
+    std::multimap<std::int64_t, std::string> dueOccurrences; ///< Scheduled jobs by Unix time at which their next occurrence opens, in ms.
 };
 
 /// Relaying of store calls through a peer while the store does not serve this instance.
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -433,8 +433,13 @@
     bool isQueue = row.jobId.empty() && row.call.verb == Verb::Lookup;
     if (!isQueue && !isJobId(row.jobId))
         return makeReply(EntryOutcome::Malformed, "the path ends in no job id of 16 hexadecimal digits");
-    if (row.call.verb == Verb::Submit && !row.call.spec)
+    if (row.call.verb != Verb::Submit)
+        return std::nullopt;
+    if (!row.call.spec)
         return makeReply(EntryOutcome::Malformed, "the body can't be read as a job");
+    std::string jobFault = describeFault(*row.call.spec);
+    if (!jobFault.empty())
+        return makeReply(EntryOutcome::Malformed, jobFault);
     return std::nullopt;
 }
 
--- a/src/cell/JobSpec.h
+++ b/src/cell/JobSpec.h
@@ -54,6 +54,14 @@
     auto tie() const { return std::tie(payload, steps, occurrences, firstDueMs, intervalMs); }
 };
 
+/// Tasks of one occurrence of a job at most. Their progress fits into a value of the store.
+constexpr std::int64_t kMaxTasksPerOccurrence = 10000;
+constexpr int kMaxOccurrences = 100000;
+constexpr std::int64_t kMaxIntervalMs = 10LL * 365 * 24 * 3600 * 1000; // ms; ten years
+
+/// Why the cell can't serve a job like this, whatever its load; empty: it can.
+std::string describeFault(const JobSpec&);
+
 /// The stored record of a job, from its acceptance to its end.
 struct JobRecord {
     std::string id;
@@ -91,6 +99,20 @@
     auto tie() const { return std::tie(occurrence, step, index, done, failedRuns, lastRun, checkpoint, crashes); }
 };
 
+/// Numbers of occurrences whose tasks are all done: those below `below`, and `others`.
+struct CompletedOccurrences {
+    int below { 0 };
+    std::set<int> others;
+
+    auto tie() const { return std::tie(below, others); }
+};
+
+/// The stored progress of a job, apart from its record.
+struct JobProgress {
+    std::vector<TaskProgress> tasks; ///< Of occurrences that are not complete.
+    CompletedOccurrences completed; ///< Of a scheduled job.
+};
+
 enum class JobState { Pending,
     Running,
     Completed,
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -5,6 +5,7 @@
 #include "src/cell/Commits.h"
 #include "src/cell/Keys.h"
 #include "src/cell/Latency.h"
+#include "src/cell/Occurrences.h"
 #include "src/cell/RecordCodec.h"
 #include "src/cell/Runs.h"
 #include "src/cell/StoreCalls.h"
@@ -79,11 +80,12 @@
 static StepRow* findStep(CellState& state, const TaskKey& key)
 {
     JobRow* job = findJob(state, key.job);
-    if (!job || key.occurrence < 0 || key.step < 0)
+    if (!job || key.step < 0)
         return nullptr;
-    if (static_cast<std::size_t>(key.occurrence) >= job->occurrences.size())
+    auto occurrence = job->occurrences.find(key.occurrence);
+    if (occurrence == job->occurrences.end())
         return nullptr;
-    std::vector<StepRow>& steps = job->occurrences[key.occurrence].steps;
+    std::vector<StepRow>& steps = occurrence->second.steps;
     return static_cast<std::size_t>(key.step) < steps.size() ? &steps[key.step] : nullptr;
 }
 
@@ -97,8 +99,7 @@
 
 const StepSpec& specOf(const JobRow& job, const TaskKey& key) { return job.record.spec.steps[key.step]; }
 
-/// Updates the count of waiting tasks and the set of jobs that placement considers.
-static void countWaitingTasks(CellState& state, JobRow& job, int change)
+void countWaitingTasks(CellState& state, JobRow& job, int change)
 {
     job.waiting += change;
     if (job.waiting > 0)
@@ -110,7 +111,11 @@
 void removeJob(CellState& state, const std::string& id)
 {
     state.waitingJobs.erase(id);
-    state.jobs.erase(id);
+    auto it = state.jobs.find(id);
+    if (it == state.jobs.end())
+        return;
+    closeOccurrences(state, it->second);
+    state.jobs.erase(it);
 }
 
 void noteRun(TaskRow& task, int run)
@@ -151,36 +156,15 @@
     return longest;
 }
 
-static JobRow makeRow(const JobRecord& record, StoreRevision revision, TimePoint now)
+static JobRow makeRow(const JobRecord& record, StoreRevision revision)
 {
     JobRow row;
     row.record = record;
     row.revision = revision;
     row.estimatedCriticalPath = estimateCriticalPath(record.spec);
-    row.occurrences.resize(std::max(1, record.spec.occurrences));
-    for (OccurrenceRow& occurrence : row.occurrences) {
-        for (const StepSpec& spec : record.spec.steps) {
-            StepRow step;
-            step.tasks.resize(std::max(0, spec.count));
-            for (TaskRow& task : step.tasks)
-                task.since = now;
-            step.waiting = static_cast<int>(step.tasks.size());
-            occurrence.steps.push_back(std::move(step));
-        }
-    }
     return row;
 }
 
-static int countTasks(const JobRow& job)
-{
-    int count = 0;
-    for (const OccurrenceRow& occurrence : job.occurrences) {
-        for (const StepRow& step : occurrence.steps)
-            count += static_cast<int>(step.tasks.size());
-    }
-    return count;
-}
-
 static void endJob(CellState& state, JobRow& job, JobState ended, const std::string& why, const Instant& now, CellActions& actions)
 {
     job.ended = ended;
@@ -202,9 +186,8 @@
         logMessage(actions, LogLevel::Error, "job.read", "", id, "malformed job record in the store; the job is ignored");
         return;
     }
-    JobRow& row = state.jobs.emplace(id, makeRow(*record, entry.modRevision, now.steady)).first->second;
-    countWaitingTasks(state, row, countTasks(row));
-    state.placementDue = true;
+    JobRow& row = state.jobs.emplace(id, makeRow(*record, entry.modRevision)).first->second;
+    beginOccurrences(state, row, now.steady);
     if (state.cancellations.count(id) > 0)
         endJob(state, row, JobState::Cancelled, "cancelled by its team", now, actions);
 }
@@ -228,17 +211,6 @@
         applyJobEntry(state, entry, now, actions);
 }
 
-static bool isComplete(const JobRow& job)
-{
-    for (const OccurrenceRow& occurrence : job.occurrences) {
-        for (const StepRow& step : occurrence.steps) {
-            if (step.done < static_cast<int>(step.tasks.size()))
-                return false;
-        }
-    }
-    return true;
-}
-
 static void endIfComplete(CellState& state, JobRow& job, const Instant& now, CellActions& actions)
 {
     if (!job.ended && isComplete(job))
@@ -259,12 +231,17 @@
 {
     std::string id = entry.key.substr(std::string(kProgressPrefix).size());
     JobRow* job = findJob(state, id);
-    std::optional<std::vector<TaskProgress>> tasks = decodeProgress(entry.value);
-    if (!job || !tasks)
+    std::optional<JobProgress> stored = decodeProgress(entry.value);
+    if (!job || !stored)
         return;
     job->mayHaveProgress = true;
-    for (const TaskProgress& progress : *tasks) {
+    job->hasStarted = job->hasStarted || stored->completed.below > 0 || !stored->completed.others.empty();
+    addCompleted(*job, stored->completed);
+    std::set<int> touched;
+    for (const TaskProgress& progress : stored->tasks) {
         TaskKey key { id, progress.occurrence, progress.step, progress.index };
+        openOccurrence(state, key, now.steady);
+        touched.insert(progress.occurrence);
         TaskRow* task = findTask(state, key);
         if (!task)
             continue;
@@ -278,6 +255,8 @@
         if (progress.done)
             setPhase(state, key, TaskPhase::Done, now.steady);
     }
+    for (int occurrence : touched)
+        closeIfComplete(state, *job, occurrence);
     endIfComplete(state, *job, now, actions);
 }
 
@@ -301,6 +280,7 @@
     auto it = state.upstreams.find(findTask(state, key)->upstream);
     if (!specOf(job, key).gang && it != state.upstreams.end())
         stopRun(state, it->second, formatTaskKey(key), now, actions);
+    closeIfComplete(state, job, key.occurrence);
     endIfComplete(state, job, now, actions);
 }
 
@@ -359,6 +339,7 @@
 
 void handleRunEnd(CellState& state, const RunEndReport& end, const Instant& now, CellActions& actions)
 {
+    openOccurrence(state, end.task, now.steady);
     TaskRow* task = findTask(state, end.task);
     JobRow* job = findJob(state, end.task.job);
     if (!task || job->ended || task->phase == TaskPhase::Done)
@@ -418,7 +399,7 @@
         if (wallMs + toMilliseconds(state.settings.maxEarlyStart) < due)
             return false;
     }
-    const std::vector<StepRow>& steps = job.occurrences[occurrence].steps;
+    const std::vector<StepRow>& steps = job.occurrences.at(occurrence).steps;
     for (int earlier : spec.steps[step].after) {
         bool isKnown = earlier >= 0 && static_cast<std::size_t>(earlier) < steps.size();
         if (isKnown && steps[earlier].done < static_cast<int>(steps[earlier].tasks.size()))
@@ -442,24 +423,30 @@
     });
 }
 
-std::vector<TaskProgress> collectProgress(const JobRow& job)
-{
-    std::vector<TaskProgress> all;
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        const std::vector<StepRow>& steps = job.occurrences[k].steps;
-        for (std::size_t s = 0; s < steps.size(); ++s) {
-            for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
-                const TaskRow& task = steps[s].tasks[i];
-                bool isDone = task.phase == TaskPhase::Done;
-                bool isGang = job.record.spec.steps[s].gang;
-                const std::set<int>& failedRuns = isGang ? steps[s].failedRuns : task.failedRuns;
-                bool hasCrashed = !task.crashes.all.empty();
-                if (isDone || hasCrashed || !failedRuns.empty() || !task.checkpoint.empty())
-                    all.push_back({ static_cast<int>(k), static_cast<int>(s), static_cast<int>(i), isDone, failedRuns, task.run, isDone ? std::string() : task.checkpoint, task.crashes });
-            }
+static void addProgress(const JobRow& job, int occurrence, std::vector<TaskProgress>& all)
+{
+    const std::vector<StepRow>& steps = job.occurrences.at(occurrence).steps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+        for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
+            const TaskRow& task = steps[s].tasks[i];
+            bool isDone = task.phase == TaskPhase::Done;
+            bool isGang = job.record.spec.steps[s].gang;
+            const std::set<int>& failedRuns = isGang ? steps[s].failedRuns : task.failedRuns;
+            bool hasCrashed = !task.crashes.all.empty();
+            if (isDone || hasCrashed || !failedRuns.empty() || !task.checkpoint.empty())
+                all.push_back({ occurrence, static_cast<int>(s), static_cast<int>(i), isDone, failedRuns, task.run, isDone ? std::string() : task.checkpoint, task.crashes });
         }
     }
-    return all;
+}
+
+JobProgress collectProgress(const JobRow& job)
+{
+    JobProgress progress;
+    for (const auto& [occurrence, row] : job.occurrences)
+        addProgress(job, occurrence, progress.tasks);
+    if (job.record.spec.occurrences > 0)
+        progress.completed = job.completed;
+    return progress;
 }
 
 } // namespace crocuslever::cell
--- a/src/cell/Jobs.h
+++ b/src/cell/Jobs.h
@@ -21,6 +21,8 @@
 
 /// Takes the run for the one by which the task is known.
 void noteRun(TaskRow&, int run);
+/// Updates the count of waiting tasks, and the set of jobs that placement considers.
+void countWaitingTasks(CellState&, JobRow&, int change);
 /// Moves a task to another phase and updates the counts of its step and job.
 void setPhase(CellState&, const TaskKey&, TaskPhase, TimePoint now);
 
@@ -47,7 +49,7 @@
 /// Number of jobs of the route that have not started a task yet.
 std::int64_t countWaiting(const CellState&, const std::string& route);
 
-/// The job's progress record: tasks that are done, have failed runs or have a checkpoint.
-std::vector<TaskProgress> collectProgress(const JobRow&);
+/// The job's progress record: complete occurrences, and tasks that are done, have failed runs or have a checkpoint.
+JobProgress collectProgress(const JobRow&);
 
 } // namespace crocuslever::cell
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -8,6 +8,7 @@
 #include "src/cell/Fit.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/LargestRoom.h"
+#include "src/cell/Occurrences.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/Place.h"
 #include "src/cell/PlacementPass.h"
@@ -307,6 +308,7 @@
     state.placementDue = false;
     state.counters.add("placement_passes_total");
     std::int64_t pairsBefore = state.examinedPairs;
+    openDueOccurrences(state, now);
     updateUnseenUse(state, now.wallMs);
     std::vector<Candidate> candidates = collectCandidates(state, now);
     PlacementPass pass;
--- a/src/cell/RecordCodec.cpp
+++ b/src/cell/RecordCodec.cpp
@@ -92,10 +92,13 @@
     return job;
 }
 
-std::string encodeProgress(const std::vector<TaskProgress>& tasks)
+std::string encodeProgress(const JobProgress& progress)
 {
     wire::JobProgress out;
-    for (const TaskProgress& task : tasks) {
+    out.set_completed_below(progress.completed.below);
+    for (int occurrence : progress.completed.others)
+        out.add_completed_others(occurrence);
+    for (const TaskProgress& task : progress.tasks) {
         wire::TaskProgress& row = *out.add_tasks();
         row.set_occurrence(task.occurrence);
         row.set_step(task.step);
@@ -113,18 +116,19 @@
     return out.SerializeAsString();
 }
 
-std::optional<std::vector<TaskProgress>> decodeProgress(const std::string& bytes)
+std::optional<JobProgress> decodeProgress(const std::string& bytes)
 {
     wire::JobProgress in;
     if (!in.ParseFromString(bytes))
         return std::nullopt;
-    std::vector<TaskProgress> tasks;
+    JobProgress progress;
+    progress.completed = { in.completed_below(), { in.completed_others().begin(), in.completed_others().end() } };
     for (const wire::TaskProgress& row : in.tasks()) {
         std::set<int> failedRuns(row.failed_runs().begin(), row.failed_runs().end());
         CrashedRuns crashes { { row.crashed_runs().begin(), row.crashed_runs().end() }, { row.suddenly_crashed_runs().begin(), row.suddenly_crashed_runs().end() } };
-        tasks.push_back({ row.occurrence(), row.step(), row.index(), row.done(), std::move(failedRuns), row.last_run(), row.checkpoint(), std::move(crashes) });
+        progress.tasks.push_back({ row.occurrence(), row.step(), row.index(), row.done(), std::move(failedRuns), row.last_run(), row.checkpoint(), std::move(crashes) });
     }
-    return tasks;
+    return progress;
 }
 
 std::string encodeOwner(const OwnerRecord& owner)
--- a/src/cell/RecordCodec.h
+++ b/src/cell/RecordCodec.h
@@ -16,8 +16,8 @@
 std::string encodeJob(const JobRecord&);
 std::optional<JobRecord> decodeJob(const std::string& bytes);
 
-std::string encodeProgress(const std::vector<TaskProgress>&);
-std::optional<std::vector<TaskProgress>> decodeProgress(const std::string& bytes);
+std::string encodeProgress(const JobProgress&);
+std::optional<JobProgress> decodeProgress(const std::string& bytes);
 
 /// The owner of the cell and its fencing token.
 struct OwnerRecord {
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -297,7 +297,7 @@
             job->hasStarted = true;
         if (run.stopping)
             sendStop(state, upstream, name, run, actions);
-        else
+        else if (findTask(state, run.task))
             setPhase(state, run.task, TaskPhase::Running, now.steady);
         return;
     }
--- a/src/cell/UnseenUse.cpp
+++ b/src/cell/UnseenUse.cpp
@@ -38,11 +38,11 @@
 static Resources unseenUseOf(const CellState& state, const JobRow& job, std::int64_t wallMs)
 {
     Resources sum;
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        const std::vector<StepRow>& steps = job.occurrences[k].steps;
+    for (const auto& [occurrence, row] : job.occurrences) {
+        const std::vector<StepRow>& steps = row.steps;
         for (std::size_t s = 0; s < steps.size(); ++s) {
             std::int64_t waiting = steps[s].waiting;
-            if (waiting == 0 || !isStepReady(state, job, static_cast<int>(k), static_cast<int>(s), wallMs))
+            if (waiting == 0 || !isStepReady(state, job, occurrence, static_cast<int>(s), wallMs))
                 continue;
             Resources each = amountOf(job.record.spec.steps[s]);
             sum = sum + Resources { each.milliCpu * waiting, each.memoryMb * waiting, each.accelerators * waiting, 0 };
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -7,6 +7,7 @@
 #include "src/cell/Delegation.h"
 #include "src/cell/Fit.h"
 #include "src/cell/Jobs.h"
+#include "src/cell/Occurrences.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/Runs.h"
 #include "src/cell/StoreCalls.h"
@@ -223,6 +224,7 @@
 
 static void adoptListing(CellState& state, UpstreamRow& upstream, const RunListing& listing, const TaskKey& key, const Instant& now, CellActions& actions)
 {
+    openOccurrence(state, key, now.steady);
     JobRow* job = findJob(state, key.job);
     if (!job || !findTask(state, key)) {
         ++upstream.unknownRuns;
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -58,6 +58,7 @@
     /// Returns false if the condition does not hold within `limit`.
     bool runUntil(Duration limit, const std::function<bool()>& isTrue);
     TimePoint now() const { return m_queue.now().steady; }
+    std::int64_t wallMs() const { return m_queue.now().wallMs; } ///< Unix time.
 
     // Callers.
     void submit(const std::string& id, const JobSpec&, std::size_t instance, Duration callerTimeout = std::chrono::seconds(3), const std::string& prefix = "/jobs/", const std::string& key = "");
