Leave something behind that a late submission of a cancelled job meets

Cause: a cancellation that found neither the job nor its end left nothing, and a submission asks only that neither is stored.

Change: such a cancellation stores a withdrawal under the key of the job's end before it is answered. Submissions require that key to be absent already. A submission that meets it is answered with 410.

CancellationIsTurnedAway asked for 410 right after the two reads; it now also asks for the withdrawal, with its conditions and lease, before the 410.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -378,6 +378,12 @@
     bool retrying { false };
 };
 
+/// The store lease that withdrawals are attached to; see Withdrawal.h.
+struct WithdrawalLease {
+    LeaseId id { 0 }; ///< 0: none.
+    TimePoint grantedAt;
+};
+
 /// A query to a peer that awaits its answer.
 struct PeerCall {
     /// Receives null after a timeout.
@@ -457,6 +463,7 @@
     std::map<std::string, AdviceLoad> adviceLoads; ///< By instance name.
 
     std::map<CallId, EntryRow> entries;
+    WithdrawalLease withdrawalLease;
     std::unordered_map<std::uint64_t, PeerCall> peerCalls; ///< By number of the query.
     std::vector<std::uint64_t> unsentPeerCalls; ///< Queries that leave at the end of this turn.
     std::vector<std::uint64_t> sentPeerCalls; ///< Queries of the turn before, whose timeout begins now.
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -5,6 +5,7 @@
 #include "cell.pb.h"
 #include "src/cell/Admission.h"
 #include "src/cell/Declarations.h"
+#include "src/cell/EntryReplies.h"
 #include "src/cell/JobQueue.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
@@ -13,6 +14,7 @@
 #include "src/cell/PeerCalls.h"
 #include "src/cell/RecordCodec.h"
 #include "src/cell/StoreCalls.h"
+#include "src/cell/Withdrawal.h"
 
 namespace crocuslever::cell {
 
@@ -26,7 +28,6 @@
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
 static constexpr Duration kOwnerQueryTimeout = std::chrono::milliseconds(300);
 static constexpr Duration kOwnerBackoff = std::chrono::milliseconds(600);
-static constexpr Duration kRetryAfterOutage = std::chrono::milliseconds(1000);
 
 static void reply(CellState& state, CallId id, EntryReply answer, CellActions& actions)
 {
@@ -36,51 +37,6 @@
     actions.push_back(std::move(answer));
 }
 
-const char* toString(EntryOutcome outcome)
-{
-    switch (outcome) {
-    case EntryOutcome::Accepted:
-        return "accepted";
-    case EntryOutcome::State:
-        return "state";
-    case EntryOutcome::Count:
-        return "count";
-    case EntryOutcome::Cancelled:
-        return "cancelled";
-    case EntryOutcome::Gone:
-        return "gone";
-    case EntryOutcome::NoRoute:
-        return "no_route";
-    case EntryOutcome::Unauthorized:
-        return "unauthorized";
-    case EntryOutcome::Malformed:
-        return "malformed";
-    case EntryOutcome::Refused:
-        return "refused";
-    case EntryOutcome::Overloaded:
-        return "overloaded";
-    case EntryOutcome::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
-static EntryReply makeReply(EntryOutcome outcome, const std::string& reason = {})
-{
-    EntryReply answer;
-    answer.outcome = outcome;
-    answer.reason = reason;
-    return answer;
-}
-
-static EntryReply makeState(JobState job)
-{
-    EntryReply answer;
-    answer.outcome = EntryOutcome::State;
-    answer.state = job;
-    return answer;
-}
-
 static bool isFinal(JobState state)
 {
     return state == JobState::Completed || state == JobState::Failed || state == JobState::Cancelled;
@@ -94,13 +50,6 @@
     reply(state, row.call.id, makeState(job), actions);
 }
 
-static EntryReply makeRefusal(const std::string& reason)
-{
-    EntryReply answer = makeReply(EntryOutcome::Refused, reason);
-    answer.retryAfter = kRetryAfterOutage;
-    return answer;
-}
-
 static void refuseOverload(CellState& state, const EntryRow& row, CellActions& actions)
 {
     EntryReply answer = makeReply(EntryOutcome::Overloaded, "the cell has more work than it can serve in time");
@@ -170,6 +119,13 @@
 
 static void storeJob(CellState&, EntryRow&, const Instant& now, CellActions&);
 
+/// Answers a call about a job that was cancelled before it was stored: it never runs, and is no job.
+static void replyWithdrawn(CellState& state, const EntryRow& row, CellActions& actions)
+{
+    logMessage(actions, LogLevel::Info, "entry.withdrawn", "", row.jobId, "the job was cancelled before it was stored");
+    reply(state, row.call.id, makeReply(EntryOutcome::Gone, "the job was cancelled before it was stored"), actions);
+}
+
 static void handleStored(CellState& state, CallId id, const StoreReply& stored, const Instant& now, CellActions& actions)
 {
     EntryRow* row = findEntry(state, id);
@@ -182,6 +138,10 @@
         storeJob(state, *row, now, actions);
         return;
     }
+    if (stored.status == StoreStatus::Conflict && isWithdrawn(stored, row->jobId)) {
+        replyWithdrawn(state, *row, actions);
+        return;
+    }
     if (stored.status == StoreStatus::Ok || stored.status == StoreStatus::Conflict) {
         bool isNew = stored.status == StoreStatus::Ok;
         logMessage(actions, LogLevel::Info, "entry.accept", "", row->jobId, std::string(isNew ? "stored" : "already stored") + " for route " + row->route + ", team " + row->team + ", after " + std::to_string(toMilliseconds(now.steady - row->arrivedAt)) + " ms");
@@ -240,18 +200,45 @@
     return std::nullopt;
 }
 
+static void handleWithdrawal(CellState& state, CallId id, const StoreReply& stored, const Instant& now, CellActions& actions)
+{
+    EntryRow* row = findEntry(state, id);
+    if (!row)
+        return;
+    if (stored.status == StoreStatus::Ok) {
+        replyWithdrawn(state, *row, actions);
+        return;
+    }
+    // After a conflict the job is stored, or was withdrawn by another call, and is looked for again.
+    row->maybeStored = row->maybeStored || stored.status == StoreStatus::NoAnswer;
+    retryLater(*row, now);
+}
+
+/// A submission that is still on its way must not start the job once the cancellation is answered.
+static void withdraw(CellState& state, const EntryRow& row, const Instant& now, CellActions& actions)
+{
+    CallId id = row.call.id;
+    auto then = [id](CellState& s, const StoreReply& stored, const Instant& at, CellActions& out) { handleWithdrawal(s, id, stored, at, out); };
+    storeWithdrawal(state, row.jobId, now, then, actions);
+}
+
 static void handleEndedRead(CellState& state, CallId id, const StoreReply& read, const Instant& now, CellActions& actions)
 {
     EntryRow* row = findEntry(state, id);
     if (!row)
         return;
     bool isSubmission = row->call.verb == Verb::Submit;
-    if (read.status == StoreStatus::NotFound && isSubmission) {
-        refuseOverload(state, *row, actions);
+    if (isWithdrawn(read, row->jobId)) {
+        replyWithdrawn(state, *row, actions);
         return;
     }
     if (read.status == StoreStatus::NotFound) {
-        reply(state, id, makeReply(EntryOutcome::Gone), actions);
+        if (isSubmission)
+            refuseOverload(state, *row, actions);
+        else if (row->call.verb == Verb::Cancel)
+            withdraw(state, *row, now, actions);
+        else
+            reply(state, id, makeReply(EntryOutcome::Gone), actions);
         return;
     }
     std::optional<JobState> ended = read.entries.empty() ? std::nullopt : parseEndedState(read.entries.front().value);
@@ -343,14 +330,6 @@
     queryPeer(state, state.membership.ownerAddress, std::move(query), kOwnerQueryTimeout, then, now, actions);
 }
 
-static EntryReply makeCount(std::int64_t count)
-{
-    EntryReply answer;
-    answer.outcome = EntryOutcome::Count;
-    answer.count = count;
-    return answer;
-}
-
 static void countQueue(CellState& state, EntryRow& row, const Instant& now, CellActions& actions)
 {
     CallId id = row.call.id;
--- a/tests/EntryAdmissionTest.cpp
+++ b/tests/EntryAdmissionTest.cpp
@@ -328,6 +328,19 @@
     entry.call(Verb::Cancel, kDeferrable + kJob);
     entry.answerRead(jobKey(kJob), StoreStatus::NotFound);
     entry.answerRead(endedKey(kJob), StoreStatus::NotFound);
+    // It is answered once a submission that is still on its way can't store the job any more.
+    LeaseGrant grant = entry.take<LeaseGrant>();
+    StoreReply granted;
+    granted.ticket = grant.ticket;
+    granted.status = StoreStatus::Ok;
+    granted.lease = 3;
+    entry.deliver(granted);
+    StoreChange withdrawal = entry.take<StoreChange>();
+    BOOST_TEST((withdrawal.conditions == std::vector<StoreCompare> { { jobKey(kJob), 0 }, { endedKey(kJob), 0 } }));
+    BOOST_TEST(withdrawal.puts.at(0).key == endedKey(kJob));
+    BOOST_TEST(withdrawal.puts.at(0).lease == 3);
+    BOOST_TEST(entry.isQuiet());
+    entry.answer(withdrawal.ticket, StoreStatus::Ok);
     BOOST_TEST((entry.take<EntryReply>().outcome == EntryOutcome::Gone));
 }
 
