Send a call only to the incarnation of an upstream that it is meant for

Cause: id and address of an upstream are those of its next incarnation, too. A start, or a poll that renews leases, that was meant for the former one carries a time on the former clock, far ahead on the new one, and set the longest lease, 10 s, for all that runs there. The owner that had sent it allowed for that; its successor waited one ordinary lease, and started tasks again that went on behind the cut.

Change: a connection leads to one process. A call that changes something is preceded, on a connection whose process isn't known yet, by a poll that changes nothing and tells the upstream's start time; if it isn't the expected one, the call fails as not sent. This replaces the connection that a poll with acknowledgements had to share with the one before. A restart now ends all runs of the former incarnation at once: nothing can reach the next one late, no longest lease is allowed for, and starts without an answer aren't sent again to an incarnation whose labels may differ. On the emulator, too, an order reaches only the incarnation that it names: it models the upstream edge, whose test is PlatformUpstreamsTest.

--- a/src/cell/CellSettings.h
+++ b/src/cell/CellSettings.h
@@ -22,7 +22,6 @@
 
     Duration instanceLease { std::chrono::milliseconds(1500) }; ///< In the store; a failed owner is replaced after it.
     Duration runLease { std::chrono::milliseconds(5000) }; ///< Lease of the runs on an upstream.
-    Duration longestLease { std::chrono::seconds(10) }; ///< Longest run lease that an upstream accepts.
     /// An owner stops sending orders this long after its last lease renewal.
     Duration ownerLeaseTimeout { std::chrono::milliseconds(6000) };
     Duration configurationDeadline { std::chrono::milliseconds(2000) }; ///< A change has to be in force within this time.
--- a/src/cell/DelegationCodec.cpp
+++ b/src/cell/DelegationCodec.cpp
@@ -19,7 +19,8 @@
     out.set_kind(wire::UpstreamCall::POLL);
     encodeTarget(poll.target, poll.token, out);
     out.set_acknowledged(poll.acknowledged);
-    out.set_on_same_connection(poll.onSameConnection);
+    // Delegates of earlier versions don't look at the incarnation.
+    out.set_on_same_connection(poll.acknowledged > 0);
     out.set_lease_until_ms(poll.leaseUntilMs);
     out.set_wait_ms(toMilliseconds(poll.wait));
 }
@@ -58,7 +59,7 @@
     UpstreamTarget target { in.upstream(), in.address(), in.born_ms() };
     switch (in.kind()) {
     case wire::UpstreamCall::POLL:
-        return UpstreamPoll { ticket, target, in.token(), in.acknowledged(), in.on_same_connection(), in.lease_until_ms(), fromMilliseconds(in.wait_ms()) };
+        return UpstreamPoll { ticket, target, in.token(), in.acknowledged(), in.lease_until_ms(), fromMilliseconds(in.wait_ms()) };
     case wire::UpstreamCall::START:
         return RunStart { ticket, target, in.task(), in.run(), in.payload(), in.lease_until_ms(), in.token(), in.checkpoint(), in.advice() };
     case wire::UpstreamCall::STOP:
--- a/src/cell/Messages.h
+++ b/src/cell/Messages.h
@@ -182,7 +182,7 @@
 
 // Upstreams.
 
-/// The upstream incarnation that a call addresses.
+/// The upstream incarnation that a call addresses. No other one executes orders, or polls that renew leases or acknowledge ends.
 struct UpstreamTarget {
     std::string id;
     std::string address;
@@ -196,8 +196,6 @@
     UpstreamTarget target;
     std::int64_t token { 0 };
     std::int64_t acknowledged { 0 }; ///< Ends up to this number may be dropped.
-    /// Send only on the connection of the previous poll, since another incarnation may listen at the address.
-    bool onSameConnection { false };
     std::int64_t leaseUntilMs { 0 }; ///< New lease expiry on the upstream's clock; 0: leases are not renewed.
     Duration wait { 0 }; ///< Long poll: how long the upstream waits for a new end before it answers.
 };
--- a/src/cell/UpstreamDirectory.cpp
+++ b/src/cell/UpstreamDirectory.cpp
@@ -58,12 +58,8 @@
     finishRun(state, upstream, name, RunEnd::LeaseExpired, "", now, actions);
 }
 
-/// Ends all runs of an upstream at whose address a later one is listed. Orders that name the earlier one are refused there.
-static void handleUpstreamReplaced(CellState& state, UpstreamRow& upstream, const DirectoryEntry& successor, const Instant& now, CellActions& actions)
+static void loseAllRuns(CellState& state, UpstreamRow& upstream, const Instant& now, CellActions& actions)
 {
-    logMessage(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "has ended: " + successor.id + " is listed at its address " + successor.address + "; it had " + std::to_string(upstream.runs.size()) + " runs");
-    recordCrash(state, upstream, now, actions);
-    upstream.isReplaced = true;
     std::vector<std::string> names;
     for (const auto& [name, run] : upstream.runs)
         names.push_back(name);
@@ -71,25 +67,21 @@
         loseRun(state, upstream, name, now, actions);
 }
 
-// The new incarnation knows nothing of the runs of the previous one. It may still execute an order that was sent to the previous one.
+/// Ends all runs of an upstream at whose address a later one is listed. Orders that name the earlier one are refused there.
+static void handleUpstreamReplaced(CellState& state, UpstreamRow& upstream, const DirectoryEntry& successor, const Instant& now, CellActions& actions)
+{
+    logMessage(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "has ended: " + successor.id + " is listed at its address " + successor.address + "; it had " + std::to_string(upstream.runs.size()) + " runs");
+    recordCrash(state, upstream, now, actions);
+    upstream.isReplaced = true;
+    loseAllRuns(state, upstream, now, actions);
+}
+
+// The new incarnation knows nothing of the runs of the previous one, and executes no order that was meant for it.
 void handleUpstreamRestart(CellState& state, UpstreamRow& upstream, std::int64_t bornMs, const Instant& now, CellActions& actions)
 {
     logMessage(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "restarted, new incarnation " + std::to_string(bornMs) + "; the previous one had " + std::to_string(upstream.runs.size()) + " runs");
     recordCrash(state, upstream, now, actions);
-    std::vector<std::string> gone;
-    std::vector<std::string> uncertain;
-    for (const auto& [name, run] : upstream.runs) {
-        if (!run.confirmed)
-            continue; // The order is resent to the new incarnation.
-        // Wall clocks differ, so a run ordered shortly before the restart may be in the new incarnation.
-        bool mayBeNew = run.startedMs + kMaxClockErrorMs > bornMs;
-        (mayBeNew ? uncertain : gone).push_back(name);
-    }
-    for (const std::string& name : gone)
-        loseRun(state, upstream, name, now, actions);
-    // The start order may have reached the new incarnation before we learned of the restart.
-    for (const std::string& name : uncertain)
-        stopRun(state, upstream, name, now, actions);
+    loseAllRuns(state, upstream, now, actions);
     upstream.entry.bornMs = bornMs;
     assignIncarnation(state, upstream);
     upstream.fenced = false;
@@ -99,9 +91,7 @@
     upstream.acknowledged = 0;
     upstream.pendingEnds.clear();
     upstream.failedPolls = 0;
-    // The clock of the new incarnation starts over, so an order to the previous one may have given it
-    // the longest lease that it accepts.
-    upstream.leasesEnd = leaseEndAfter(now.steady, state.settings.longestLease);
+    upstream.leasesEnd = now.steady;
     if (upstream.poll != 0)
         state.polls.erase(upstream.poll);
     upstream.poll = 0;
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -102,7 +102,6 @@
     poll.token = state.ownership.token;
     // After a failed poll another incarnation may answer, whose ends are numbered from 1 again.
     poll.acknowledged = upstream.failedPolls > 0 ? 0 : upstream.acknowledged;
-    poll.onSameConnection = poll.acknowledged > 0;
     // Polls of an unresponsive upstream renew no leases: they may arrive without an answer, and its runs
     // could then never be declared expired.
     poll.leaseUntilMs = upstream.failedPolls > 0 ? 0 : leaseUntil(state, upstream, now.steady);
--- a/src/cell/Withdrawal.cpp
+++ b/src/cell/Withdrawal.cpp
@@ -33,7 +33,7 @@
     sendChange(state, std::move(command), handle, actions);
 }
 
-void storeWithdrawal(CellState& state, const std::string& jobId, const Instant& now, StoreContinuation then, CellActions& actions)
+void storeWithdrawal(CellState& state, const std::string& jobId, const Instant& now, const StoreContinuation& then, CellActions& actions)
 {
     if (hasLease(state, now.steady)) {
         sendWithdrawal(state, jobId, then, actions);
--- a/src/cell/Withdrawal.h
+++ b/src/cell/Withdrawal.h
@@ -10,7 +10,7 @@
 
 /// Stores a withdrawal unless the job is stored or has ended, which the status Conflict says. Any other status but Ok: to be
 /// tried again.
-void storeWithdrawal(CellState&, const std::string& jobId, const Instant& now, StoreContinuation, CellActions&);
+void storeWithdrawal(CellState&, const std::string& jobId, const Instant& now, const StoreContinuation&, CellActions&);
 /// True if the reply shows that the job was withdrawn.
 bool isWithdrawn(const StoreReply&, const std::string& jobId);
 
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -61,6 +61,8 @@
     int putOff { 0 }; ///< Times that the timeout was put off.
     beast::flat_buffer buf;
     std::string peer;
+    std::string process; ///< Identity of the process at the other end; empty: not known.
+    bool isGreeting { false }; ///< The greeting of the call is in flight, not the call itself.
     std::optional<Request> request;
     std::optional<Parser> parser;
     std::optional<Clock::time_point> transferEnd; ///< Set once a part of the answer has arrived.
@@ -80,6 +82,12 @@
     return ec == asio::error::would_block && connection.buf.size() == 0;
 }
 
+/// True if the connection leads to the process that the request is for.
+static bool isExpected(const Connection& connection, const HttpRequest& request)
+{
+    return request.expectedProcess.empty() || connection.process == request.expectedProcess;
+}
+
 class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
 public:
     Impl(asio::io_context& io, HttpClientSettings settings)
@@ -93,7 +101,7 @@
     {
         if (m_stopped)
             return;
-        ConnectionPtr connection = m_waiting.empty() && hasRoom() ? acquireIdle() : nullptr;
+        ConnectionPtr connection = m_waiting.empty() && hasRoom() ? acquireIdle(call.request) : nullptr;
         if (connection) {
             startOn(connection, std::move(call));
             return;
@@ -173,17 +181,14 @@
 
     void start(Call call)
     {
-        ConnectionPtr idle = acquireIdle();
+        ConnectionPtr idle = acquireIdle(call.request);
         if (idle) {
             startOn(idle, std::move(call));
             return;
         }
         ConnectionPtr connection = std::make_shared<Connection>(m_io);
         assign(connection, std::move(call));
-        if (connection->call.request.requireReusedConnection)
-            finish(connection, makeHttpError(ErrorCode::Unavailable, connection->call.request, currentEndpoint(), asio::error::not_connected));
-        else
-            connect(connection);
+        connect(connection);
     }
 
     /// Sends the call on an open connection.
@@ -231,12 +236,14 @@
         });
     }
 
-    ConnectionPtr acquireIdle()
+    /// A connection to another process than the expected one is closed.
+    ConnectionPtr acquireIdle(const HttpRequest& request)
     {
         while (!m_idle.empty()) {
             ConnectionPtr connection = m_idle.back();
             m_idle.pop_back();
-            if (isReusable(*connection))
+            bool isSuitable = connection->process.empty() || isExpected(*connection, request);
+            if (isSuitable && isReusable(*connection))
                 return connection;
         }
         return nullptr;
@@ -285,11 +292,18 @@
         connect(connection);
     }
 
+    static const HttpRequest& requestInFlight(const Connection& connection)
+    {
+        const HttpRequest& request = connection.call.request;
+        return connection.isGreeting ? *request.greeting : request;
+    }
+
     void write(const ConnectionPtr& connection)
     {
         if (m_stopped)
             return;
-        connection->request = makeMessage(connection->call.request, connection->peer);
+        connection->isGreeting = !isExpected(*connection, connection->call.request);
+        connection->request = makeMessage(requestInFlight(*connection), connection->peer);
         error_code ec;
         connection->stream.socket().set_option(tcp::no_delay(true), ec);
         http::async_write(connection->stream, *connection->request, [self = shared_from_this(), connection](error_code ec, std::size_t) {
@@ -379,7 +393,8 @@
 
     void failCall(const ConnectionPtr& connection, const error_code& ec)
     {
-        ErrorCode code = toErrorCode(ec);
+        // Until the greeting is answered the call itself has not been sent.
+        ErrorCode code = connection->isGreeting ? ErrorCode::Unavailable : toErrorCode(ec);
         if (code != ErrorCode::TooLarge)
             advanceEndpoint(connection->peer);
         finish(connection, makeHttpError(code, connection->call.request, connection->peer, ec));
@@ -389,6 +404,14 @@
     {
         http::response<http::string_body> response = connection->parser->release();
         HttpReply reply { static_cast<int>(response.result_int()), std::move(response.body()) };
+        const HttpRequest& request = requestInFlight(*connection);
+        constexpr int kOk = 200;
+        if (request.identify && connection->process.empty() && reply.status == kOk)
+            connection->process = request.identify(reply);
+        if (connection->isGreeting && reply.status == kOk) {
+            finishGreeting(connection, response.keep_alive());
+            return;
+        }
         constexpr int kServerError = 500;
         if (reply.status >= kServerError)
             advanceEndpoint(connection->peer);
@@ -399,6 +422,17 @@
             openSpares();
     }
 
+    void finishGreeting(const ConnectionPtr& connection, bool isKept)
+    {
+        if (isKept && isExpected(*connection, connection->call.request)) {
+            write(connection);
+            return;
+        }
+        if (isKept)
+            returnToIdle(connection);
+        finish(connection, makeHttpError(ErrorCode::Unavailable, connection->call.request, connection->peer, asio::error::connection_refused));
+    }
+
     void returnToIdle(const ConnectionPtr& connection)
     {
         connection->stream.expires_never();
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -329,12 +329,11 @@
 {
     ++m_instances[caller.instance].upstreamCalls;
     std::int64_t bornMs = m_upstreams.at(call.target.id).incarnation->bornMs();
-    std::int64_t& connected = m_connectedIncarnations[{ caller.instance, call.target.id }];
-    if (call.onSameConnection && connected != bornMs) {
+    bool changesRuns = call.acknowledged > 0 || call.leaseUntilMs > 0;
+    if (changesRuns && call.target.bornMs != bornMs) {
         deliver(caller, Duration(0), PollResult { call.ticket, OrderOutcome::NotSent, 0, 0, {}, {} });
         return;
     }
-    connected = bornMs;
     awaitEnd(caller, call, bornMs, now() + call.wait);
 }
 
@@ -369,10 +368,9 @@
     if (isCut || isLate) {
         deliver(caller, kCallTimeout, OrderResult { order.ticket, OrderOutcome::NoAnswer, 0 });
         // A late order waits inside the upstream and is lost if the upstream restarts.
-        std::int64_t bornMs = slot.incarnation->bornMs();
-        auto applyLate = [this, order, bornMs] {
+        auto applyLate = [this, order] {
             EmulatedUpstream& incarnation = *m_upstreams.at(order.target.id).incarnation;
-            if (incarnation.bornMs() == bornMs)
+            if (incarnation.bornMs() == order.target.bornMs)
                 apply(incarnation, order, now());
         };
         if (!isCut)
@@ -381,7 +379,9 @@
     }
     Duration there = latency(0, 3);
     m_queue.after(there, [this, caller, order] {
-        OrderOutcome outcome = apply(*m_upstreams.at(order.target.id).incarnation, order, now());
+        EmulatedUpstream& incarnation = *m_upstreams.at(order.target.id).incarnation;
+        bool isMeant = incarnation.bornMs() == order.target.bornMs;
+        OrderOutcome outcome = isMeant ? apply(incarnation, order, now()) : OrderOutcome::NotSent;
         deliver(caller, latency(0, 3), OrderResult { order.ticket, outcome, 0 });
     });
 }
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -229,7 +229,6 @@
     StoreRevision m_ownHistoryStart { 0 }; ///< Changes of the instances' own keys up to this revision are forgotten.
     std::vector<InstanceSlot> m_instances;
     std::map<std::string, UpstreamSlot> m_upstreams;
-    std::map<Connection, std::int64_t> m_connectedIncarnations; ///< Upstream incarnation behind each poll connection.
     std::vector<RunRecord> m_history;
     std::map<std::string, int> m_failures;
     std::map<std::string, CallerJob> m_jobs;
