Test that a full table of tasks turns submissions away

JobsAreAcceptedIntoAFullTable fails if mustAcceptLess() leaves the table out (the class with the least urgency is then turned away by 0), and passes. A comment in CellWithdrawalTest says what the test guards.

--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -4,6 +4,8 @@
 #include <memory>
 #include <set>
 
+#include "src/cell/Occurrences.h"
+
 namespace crocuslever::cell {
 
 BOOST_AUTO_TEST_SUITE(AdmissionTest)
@@ -89,6 +91,20 @@
     }
 }
 
+// An owner whose table of tasks was full went on to accept jobs, until it ran out of memory.
+BOOST_AUTO_TEST_CASE(JobsAreAcceptedIntoAFullTable)
+{
+    AdmittingOwner owner;
+    owner.state.ownership.openTasks = kMaxOpenTasks + 1;
+    owner.run(Duration(0), std::chrono::seconds(20));
+    BOOST_TEST(owner.shareAway(2) == 1.0);
+    BOOST_TEST(owner.shareAway(1) == 1.0);
+    BOOST_TEST(owner.shareAway(0) > 0.8);
+    owner.state.ownership.openTasks = kMaxOpenTasks;
+    owner.run(Duration(0), std::chrono::seconds(20));
+    BOOST_TEST(owner.shareAway(2) == 0.0);
+}
+
 // A process that was paused would turn work away that it could serve.
 BOOST_AUTO_TEST_CASE(WorkIsTurnedAwayAfterOneLongTurn)
 {
--- a/tests/CellWithdrawalTest.cpp
+++ b/tests/CellWithdrawalTest.cpp
@@ -34,7 +34,7 @@
     }
 }
 
-// A cancellation stores something only if the job is neither stored nor ended, and that under a lease, so that it goes away.
+// What a cancellation of an unknown job leaves in the store refuses a submission for a while, and would pile up for ever.
 BOOST_AUTO_TEST_CASE(WithdrawalStaysForever)
 {
     CellFixture cell;
