--- a/tests/soak/PlatformSoak.cpp
+++ b/tests/soak/PlatformSoak.cpp
@@ -21,7 +21,8 @@
 
 /// Which faults are played.
 enum class Faults { All,
-    Cuts };
+    Cuts,
+    Restarts };
 
 /// The jobs of one client, which hands them in and asks for their states.
 struct Client {
@@ -199,6 +200,21 @@
     cell.note("starts are carried out at once again");
 }
 
+/// Workers start again under their ids, and are cut off soon after; in half of the draws the owner is killed between the two.
+static void playRestartedWorkers(SoakCell& cell, std::mt19937_64& random)
+{
+    constexpr std::size_t kCrashes = 4;
+    cell.crashWorkers(kCrashes);
+    pause(random, 100, 700);
+    cell.reviveWorkers();
+    pause(random, 500, 1500);
+    if (random() % 2 == 0)
+        cell.restartOwner();
+    int cut = cell.cutDomain(random() % kDomains, Direction::Both, drawCutKind(random));
+    pause(random, 8000, 10000);
+    cell.heal(cut);
+}
+
 using Fault = void (*)(SoakCell&, std::mt19937_64&);
 
 /// Plays a fault, and in half of the draws one more meanwhile.
@@ -218,16 +234,19 @@
 
 static void playFaults(SoakCell& cell, std::uint64_t seed, std::int64_t seconds, Faults faults)
 {
-    constexpr Fault kFaults[] = { playDomainCuts, playDomainCuts, playInstanceCut, playPause, playLateStarts, playOutage, playKills };
+    constexpr Fault kFaults[] = { playDomainCuts, playDomainCuts, playInstanceCut, playPause, playLateStarts, playOutage, playKills, playRestartedWorkers };
     std::mt19937_64 random(seed);
     std::int64_t end = standin::now() + seconds * 1000;
     standin::Cell::sleep(kSettlingMs);
-    // The owner's domain is cut off in every soak.
-    playDomainCuts(cell, random);
+    // The owner's domain is cut off in every soak of all faults.
+    if (faults != Faults::Restarts)
+        playDomainCuts(cell, random);
     while (standin::now() < end) {
         pause(random, 500, 3000);
         if (faults == Faults::Cuts)
             playDomainCuts(cell, random);
+        else if (faults == Faults::Restarts)
+            playRestartedWorkers(cell, random);
         else
             playWithCompany(cell, random, kFaults[random() % std::size(kFaults)]);
     }
@@ -266,19 +285,26 @@
     return static_cast<int>(broken.size());
 }
 
+static Faults parseFaults(const std::string& text)
+{
+    if (text == "cuts")
+        return Faults::Cuts;
+    return text == "restarts" ? Faults::Restarts : Faults::All;
+}
+
 int main(int argc, char** argv)
 {
     TCLAP::CmdLine command("Plays faults against real processes of the platform's daemon", ' ', CROCUSLEVER_VERSION);
     TCLAP::ValueArg<std::string> program("p", "program", "The daemon, a file named crocuslever-platformd", true, "", "FILE", command);
     TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "Seed of faults and clients", false, 1, "N", command);
     TCLAP::ValueArg<std::int64_t> seconds("t", "seconds", "How long faults are played, s", false, 30, "N", command);
-    std::vector<std::string> names { "all", "cuts" };
+    std::vector<std::string> names { "all", "cuts", "restarts" };
     TCLAP::ValuesConstraint<std::string> allowed(names);
-    TCLAP::ValueArg<std::string> faults("f", "faults", "All, or only cuts of failure domains", false, "all", &allowed, command);
+    TCLAP::ValueArg<std::string> faults("f", "faults", "All, or only cuts of failure domains, or only restarts of workers before a cut", false, "all", &allowed, command);
     command.parse(argc, argv);
     char pattern[] = "/tmp/crocuslever-soak-XXXXXX";
     std::string folder = ::mkdtemp(pattern);
-    int broken = play(program.getValue(), folder, seed.getValue(), seconds.getValue(), faults.getValue() == "cuts" ? Faults::Cuts : Faults::All);
+    int broken = play(program.getValue(), folder, seed.getValue(), seconds.getValue(), parseFaults(faults.getValue()));
     if (broken == 0)
         std::filesystem::remove_all(folder);
     else
