Say what the bounds on open tasks hold, and drop a return value that nobody reads

The admission keeps a tenth of the most urgent class, jobs without a schedule open when they are read, and what an earlier owner has begun opens regardless.

No logic changed.

--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -59,7 +59,7 @@
 static bool mustAcceptLess(const CellState& state, Duration backlog)
 {
     bool isFallingBehind = state.loop.smoothed > kBusyDelay && backlog > kMostBacklog;
-    // The memory of the owner is bounded, too.
+    // Each open task takes memory of the owner.
     bool isTableFull = state.ownership.openTasks > kMaxOpenTasks;
     return isOverloaded(state.loop) || isFallingBehind || isTableFull;
 }
--- a/src/cell/Occurrences.cpp
+++ b/src/cell/Occurrences.cpp
@@ -110,14 +110,13 @@
     }
 }
 
-bool openOccurrence(CellState& state, const TaskKey& key, TimePoint now)
+void openOccurrence(CellState& state, const TaskKey& key, TimePoint now)
 {
     JobRow* job = findJob(state, key.job);
     if (!job || key.occurrence < 0 || key.occurrence >= countOccurrences(job->record.spec))
-        return false;
+        return;
     if (!isCompleted(*job, key.occurrence) && job->occurrences.count(key.occurrence) == 0)
         open(state, *job, key.occurrence, now);
-    return true;
 }
 
 static void addCompleted(JobRow& job, int occurrence)
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -350,9 +350,8 @@
         handleStartResult(state, upstream->second, name, run, result.outcome, now, actions);
 }
 
-/// The start may have become forbidden since it was first ordered. An upstream that has restarted has forgotten the fencing
-/// token of a successor, so that the record of known upstreams has to name the new incarnation first, as for any start. While
-/// polls fail, it may have restarted.
+/// The start may have become forbidden since it was first ordered. It goes to the same incarnation: a restart ends the run. While
+/// polls fail, the upstream may have restarted.
 static void resendStart(CellState& state, UpstreamRow& upstream, const std::string& name, RunRow& run, const Instant& now, CellActions& actions)
 {
     if (!isOpen(state, upstream)) {
--- a/src/http/HttpRequest.h
+++ b/src/http/HttpRequest.h
@@ -22,7 +22,7 @@
     std::vector<std::pair<std::string, std::string>> headers {}; ///< Additional headers.
     Duration timeout { 0 }; ///< 0 uses the client's timeout.
     Duration queueTimeout { 0 }; ///< Fails with Unavailable if no connection is free within it; 0: waits without limit.
-    std::string expectedProcess {}; ///< Fails with Unavailable if another process answers the greeting; empty: any process.
+    std::string expectedProcess {}; ///< Fails with Unavailable if another process answers the greeting, which it requires; empty: any process.
     /// Sent first on a connection whose process isn't known yet, if one is expected. Any status but 200 is the call's reply.
     std::shared_ptr<const HttpRequest> greeting {};
     /// The identity in a reply with status 200; null: such a reply holds none.
