--- a/src/cell/CellSettings.h
+++ b/src/cell/CellSettings.h
@@ -17,7 +17,7 @@
     std::vector<std::string> seeds; ///< Initial addresses of peers; may be stale.
     std::int64_t milliCpu { 0 }; ///< Processor share of this instance, in thousandths of a core.
     /// Processor time that the polls of one upstream take in a second.
-    Duration pollCost { std::chrono::microseconds(250) };
+    Duration pollCost { std::chrono::microseconds(1000) };
     std::uint64_t seed { 1 }; ///< Seed of random choices.
 
     Duration instanceLease { std::chrono::milliseconds(1500) }; ///< In the store; a failed owner is replaced after it.
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -172,6 +172,7 @@
     DirectoryEntry entry;
     UpstreamIncarnation incarnation { 0 };
     std::string delegate; ///< Address of the instance that calls it for this owner; empty: not chosen yet.
+    std::string failedDelegate; ///< The latest one whose polls failed; another is chosen if there is one.
     bool isStored { false }; ///< The stored record of known upstreams contains this incarnation.
     bool listed { false }; ///< Present in the latest reading of the directory.
     bool fenced { false }; ///< This incarnation has our fencing token, and a poll has returned its runs.
--- a/src/cell/Delegation.cpp
+++ b/src/cell/Delegation.cpp
@@ -26,7 +26,7 @@
 /// Added to these for the way to the delegate and back.
 static constexpr Duration kForwardingTime = std::chrono::milliseconds(300);
 /// Few delegates with many upstreams each take few frames; many lose less with one of them.
-static constexpr std::size_t kUpstreamsPerDelegate = 32;
+static constexpr std::size_t kUpstreamsPerDelegate = 64;
 static constexpr Duration kDelegateBackoff = std::chrono::milliseconds(3000); ///< For a delegate that did not answer.
 
 /// The polls of this many upstreams take the share of the processor that an owner spends on them.
@@ -47,20 +47,23 @@
     logMessage(actions, LogLevel::Info, "delegation", "", "", std::string(isNeeded ? "calls" : "no calls") + " to the " + std::to_string(state.upstreams.size()) + " upstreams go through other instances now");
 }
 
-/// Addresses of instances in the latest listing that are not in backoff, as many as the upstreams need.
+/// Addresses of instances in the latest listing that are not in backoff, as many as the upstreams need, those with the
+/// largest processor shares first.
 static std::vector<std::string> findDelegates(const CellState& state, TimePoint now)
 {
-    std::vector<std::string> delegates;
+    std::vector<const Membership::Instance*> usable;
     const Membership& membership = state.membership;
-    std::size_t needed = state.upstreams.size() / kUpstreamsPerDelegate + 1;
     for (const auto& [name, instance] : membership.instances) {
-        if (delegates.size() == needed)
-            break;
         auto avoid = state.delegation.avoidUntil.find(instance.address);
         bool isAvoided = avoid != state.delegation.avoidUntil.end() && now < avoid->second;
         if (name != state.settings.instance && instance.lastSeen == membership.listedAt && !isAvoided)
-            delegates.push_back(instance.address);
+            usable.push_back(&instance);
     }
+    std::stable_sort(usable.begin(), usable.end(), [](const Membership::Instance* a, const Membership::Instance* b) { return a->milliCpu > b->milliCpu; });
+    usable.resize(std::min(usable.size(), state.upstreams.size() / kUpstreamsPerDelegate + 1));
+    std::vector<std::string> delegates;
+    for (const Membership::Instance* it : usable)
+        delegates.push_back(it->address);
     return delegates;
 }
 
@@ -86,6 +89,8 @@
         }
         // A delegate that is late, or cut off from the upstream, is no dead upstream, whose runs would be started again. The
         // first failure may only be that of a new delegate, which has no connection yet.
+        if (!upstream->delegate.empty())
+            upstream->failedDelegate = std::move(upstream->delegate);
         upstream->delegate.clear();
         m_out.push_back(std::move(poll));
     }
@@ -128,10 +133,20 @@
     std::string delegateOf(const std::string& upstream)
     {
         auto it = m_state.upstreams.find(upstream);
-        std::string& address = it == m_state.upstreams.end() ? m_unassigned : it->second.delegate;
-        if (!isDelegate(address))
-            address = m_delegates.empty() ? std::string() : m_delegates[m_state.delegation.next++ % m_delegates.size()];
-        return address;
+        if (it == m_state.upstreams.end())
+            return chooseDelegate("");
+        if (!isDelegate(it->second.delegate))
+            it->second.delegate = chooseDelegate(it->second.failedDelegate);
+        return it->second.delegate;
+    }
+
+    /// The next in turn that is not `avoided`; empty: there are no delegates.
+    std::string chooseDelegate(const std::string& avoided)
+    {
+        if (m_delegates.empty())
+            return {};
+        std::string address = m_delegates[m_state.delegation.next++ % m_delegates.size()];
+        return address == avoided ? m_delegates[m_state.delegation.next++ % m_delegates.size()] : address;
     }
 
     template <typename Call>
@@ -158,7 +173,6 @@
     const Instant& m_now;
     CellActions& m_out;
     std::vector<std::string> m_delegates;
-    std::string m_unassigned; ///< Delegate for the upstreams that are in no table any more.
 };
 
 } // namespace
