Plan admission by what the owner can start, with weighted shares of teams

Callers saw: in a burst nothing was turned away for 2 s, then nearly everything, by a hash that fell on all teams alike, and for 10 to 15 s after the burst. A team's weight was read and used nowhere. Cause: the limit followed the delay of the owner's loop, took effect through a listing of the store, and rose by a tenth of a class. Change: four times a second the owner plans what can start before it would be late, the most urgent classes first, and divides each class among the teams by weighted max-min fairness. It notifies all instances; they report what they turned away. Without a recent plan the limit in the owner's record holds. A limit needs a saturated loop and waiting work, so that it only tightens on what it can relieve. Placement puts teams above their weighted dominant share behind others of the same priority. Jobs that have started count as in time only while they can still be.

--- a/src/cell/Candidate.cpp
+++ b/src/cell/Candidate.cpp
@@ -1,8 +1,10 @@
 #include "src/cell/Candidate.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "src/cell/Jobs.h"
+#include "src/cell/TeamShares.h"
 #include "src/cell/UnseenUse.h"
 
 namespace crocuslever::cell {
@@ -17,26 +19,52 @@
 
 const StepSpec& specOf(const Candidate& candidate) { return specOf(*candidate.job, candidate.step); }
 
+/// Length of the critical path through the steps that are not done, by the submitter's estimates. Tasks that run count as done,
+/// since the job needs no more room for them.
+static Duration remainingPath(const JobRow& job)
+{
+    auto occurrence = job.occurrences.find(0);
+    if (!job.hasStarted || occurrence == job.occurrences.end())
+        return job.estimatedCriticalPath;
+    const std::vector<StepRow>& rows = occurrence->second.steps;
+    std::vector<Duration> ends;
+    Duration longest { 0 };
+    for (std::size_t n = 0; n < rows.size(); ++n) {
+        const StepSpec& spec = job.record.spec.steps[n];
+        Duration start { 0 };
+        for (int earlier : spec.after) {
+            if (earlier >= 0 && static_cast<std::size_t>(earlier) < ends.size())
+                start = std::max(start, ends[earlier]);
+        }
+        ends.push_back(start + (rows[n].waiting > 0 ? spec.estimate : Duration(0)));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
 /// Late jobs go last: in a full cell they would otherwise make every job behind
 /// them late as well.
-static Timeliness classifyTimeliness(const JobRow& job, const Route& route, std::int64_t wallMs)
+Timeliness classifyTimeliness(const JobRow& job, const Route& route, std::int64_t wallMs)
 {
     if (job.record.spec.occurrences > 0)
         return Timeliness::InTime;
     double criticalPathMs = static_cast<double>(toMilliseconds(job.estimatedCriticalPath));
+    double remainingMs = static_cast<double>(toMilliseconds(remainingPath(job)));
     double objectiveMs = route.stretch * criticalPathMs + static_cast<double>(toMilliseconds(route.targetDuration));
     double ageMs = static_cast<double>(wallMs - job.record.acceptedMs);
     if (ageMs > kMaxObjectiveMultiple * objectiveMs)
         return Timeliness::Useless;
-    return job.hasStarted || ageMs + criticalPathMs <= objectiveMs ? Timeliness::InTime : Timeliness::Late;
+    return ageMs + remainingMs <= objectiveMs ? Timeliness::InTime : Timeliness::Late;
 }
 
-static void addCandidates(const CellState& state, JobRow& job, const Instant& now, std::vector<Candidate>& all)
+static void addCandidates(const CellState& state, JobRow& job, std::optional<int> onlyPriority, const Instant& now, std::vector<Candidate>& all)
 {
     const Route* route = findRouteByName(*state.configuration.value, job.record.route);
-    if (!route || job.ended || mayHaveUnknownRun(state, job))
+    if (!route || job.ended || (onlyPriority && route->priority != *onlyPriority) || mayHaveUnknownRun(state, job))
         return;
     Timeliness timeliness = classifyTimeliness(job, *route, now.wallMs);
+    if (onlyPriority && timeliness != Timeliness::InTime)
+        return;
     bool mayPreempt = timeliness == Timeliness::InTime;
     for (const auto& [occurrence, row] : job.occurrences) {
         const std::vector<StepRow>& steps = row.steps;
@@ -46,16 +74,40 @@
                 continue;
             // A long-running task is of use at any age, but in a full cell others need the room to be in time.
             Timeliness turn = job.record.spec.steps[s].isLongRunning ? Timeliness::InTime : timeliness;
-            all.push_back({ &job, route, { job.record.id, occurrence, step, 0 }, turn, route->priority, job.record.acceptedMs, mayPreempt });
+            all.push_back({ &job, route, { job.record.id, occurrence, step, 0 }, turn, route->priority, 0, job.record.acceptedMs, mayPreempt });
         }
     }
 }
 
-std::vector<Candidate> collectCandidates(CellState& state, const Instant& now)
+/// Without this a team that sends many times its share would get as much of the room.
+static void rankTeams(const CellState& state, std::vector<Candidate>& all)
+{
+    std::set<std::string> waiting;
+    for (const Candidate& candidate : all)
+        waiting.insert(candidate.job->record.team);
+    std::map<std::string, int> ranks;
+    for (const auto& [team, share] : computeTeamShares(*state.configuration.value, state.teamUse, waiting, totalCapacity(state)))
+        ranks[team] = excessRank(share);
+    for (Candidate& candidate : all)
+        candidate.teamExcess = ranks[candidate.job->record.team];
+}
+
+static std::optional<int> mostUrgentPriority(const FleetPolicy& policy)
+{
+    std::optional<int> least;
+    for (const Route& route : policy.routes)
+        least = std::min(least.value_or(route.priority), route.priority);
+    return least;
+}
+
+std::vector<Candidate> collectCandidates(CellState& state, bool onlyUrgent, const Instant& now)
 {
+    std::optional<int> priority = onlyUrgent ? mostUrgentPriority(*state.configuration.value) : std::nullopt;
     std::vector<Candidate> all;
     for (const std::string& id : state.waitingJobs)
-        addCandidates(state, *findJob(state, id), now, all);
+        addCandidates(state, *findJob(state, id), priority, now, all);
+    if (!all.empty())
+        rankTeams(state, all);
     std::sort(all.begin(), all.end());
     return all;
 }
--- a/src/cell/Candidate.h
+++ b/src/cell/Candidate.h
@@ -21,18 +21,22 @@
     TaskKey step; ///< `index` is unused.
     Timeliness timeliness { Timeliness::InTime };
     int priority { 0 };
+    int teamExcess { 0 }; ///< How far the team is above its share; see excessRank().
     std::int64_t acceptedMs { 0 };
     bool mayPreempt { true }; ///< It may take room from others, now or by reservation.
 
     bool operator<(const Candidate& other) const
     {
-        return std::tie(timeliness, priority, acceptedMs, step) < std::tie(other.timeliness, other.priority, other.acceptedMs, other.step);
+        return std::tie(timeliness, priority, teamExcess, acceptedMs, step) < std::tie(other.timeliness, other.priority, other.teamExcess, other.acceptedMs, other.step);
     }
 };
 
+Timeliness classifyTimeliness(const JobRow&, const Route&, std::int64_t wallMs);
+
 /// The steps with tasks to place, in the order of placement: what can meet its objective first, then by
-/// priority, then by age.
-std::vector<Candidate> collectCandidates(CellState&, const Instant& now);
+/// priority, then teams within their share before others, then by age.
+/// `onlyUrgent`: only those of the most urgent class that are in time.
+std::vector<Candidate> collectCandidates(CellState&, bool onlyUrgent, const Instant& now);
 
 StepRow& rowOf(const Candidate&);
 const StepSpec& specOf(const Candidate&);
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -14,6 +14,7 @@
 #include "crocuslever/Core.h"
 #include "crocuslever/Counters.h"
 #include "src/cell/AdmissionLimit.h"
+#include "src/cell/AdmissionPlan.h"
 #include "src/cell/CellSettings.h"
 #include "src/cell/Confirmation.h"
 #include "src/cell/FleetPolicy.h"
@@ -254,12 +255,21 @@
     Recovering, ///< Reads the cell's records from the store.
     Deciding };
 
-/// How the owner adjusts the admission of jobs.
+/// What one team offers on one route.
+struct DemandRow {
+    double newTasks { 0.0 }; ///< Since the latest plan.
+    double tasksPerSecond { 0.0 }; ///< Smoothed.
+};
+
+/// How the owner plans the admission of jobs.
 struct AdmissionControl {
     TimePoint adjustedAt; ///< TimePoint(): never.
     std::int64_t startsBefore { 0 }; ///< Number of starts at that time.
-    Duration backlogBefore { 0 };
     double startRate { 0.0 }; ///< Starts per second, smoothed.
+    double capacity { 0.0 }; ///< Starts per second that the owner can do; 0: not known, as it was never late.
+    std::map<std::pair<std::string, std::string>, DemandRow> demand; ///< By route and team.
+    std::map<std::string, double> pathSeconds; ///< Typical critical path by route, as estimated by the submitters.
+    TimePoint announcedUntil; ///< Plans are sent to the instances until then.
     AdmissionLimit stored; ///< As the owner key says it.
 };
 
@@ -399,6 +409,19 @@
     TimePoint avoidUntil; ///< Backoff after a timeout.
 };
 
+/// The latest plan of admission that this instance has made or was sent.
+struct KnownPlan {
+    AdmissionPlan plan;
+    std::int64_t token { 0 }; ///< Of the owner that made it; 0: none is known.
+    TimePoint at;
+};
+
+/// Jobs that this instance has turned away and the owner has not been told of.
+struct Refusals {
+    std::map<std::pair<std::string, std::string>, std::int64_t> tasks; ///< By route and team.
+    TimePoint nextReport;
+};
+
 /// A listing that is read at intervals.
 struct ListingReader {
     bool isReading { false };
@@ -460,9 +483,12 @@
     CommitQueue commits;
     bool placementDue { false }; ///< Something changed that a placement pass may act on.
     TimePoint nextPlacement;
+    TimePoint nextFullPlacement; ///< Next pass over all waiting jobs, if many wait; passes before it are for urgent ones.
     std::int64_t examinedPairs { 0 }; ///< Pairs of step and upstream that placement has examined.
     std::map<std::string, AdviceLoad> adviceLoads; ///< By instance name.
 
+    KnownPlan admissionPlan;
+    Refusals refusals;
     std::map<CallId, EntryRow> entries;
     WithdrawalLease withdrawalLease;
     std::unordered_map<std::uint64_t, PeerCall> peerCalls; ///< By number of the query.
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -50,12 +50,13 @@
     reply(state, row.call.id, makeState(job), actions);
 }
 
-static void refuseOverload(CellState& state, const EntryRow& row, CellActions& actions)
+static void refuseOverload(CellState& state, const EntryRow& row, const Instant& now, CellActions& actions)
 {
     EntryReply answer = makeReply(EntryOutcome::Overloaded, "the cell has more work than it can serve in time");
-    answer.retryAfter = retryAfterOverload(state);
-    std::string limit = std::to_string(state.membership.admission.turnedAwayThousandths);
-    logMessage(actions, LogLevel::Info, "entry.refuse", "", row.jobId, answer.reason + ": the owner turns away " + limit + " thousandths of a priority class; retry after " + std::to_string(toMilliseconds(answer.retryAfter)) + " ms");
+    const Route* route = findRouteByName(*state.configuration.value, row.route);
+    answer.retryAfter = route ? retryAfterOverload(state, *route, now.steady) : kRetryInterval;
+    std::string accepted = route ? std::to_string(acceptedOfClass(state, route->priority, now.steady)) : "none";
+    logMessage(actions, LogLevel::Info, "entry.refuse", "", row.jobId, answer.reason + ": " + accepted + " thousandths of its priority class are accepted; retry after " + std::to_string(toMilliseconds(answer.retryAfter)) + " ms");
     reply(state, row.call.id, answer, actions);
 }
 
@@ -234,7 +235,7 @@
     }
     if (read.status == StoreStatus::NotFound) {
         if (isSubmission)
-            refuseOverload(state, *row, actions);
+            refuseOverload(state, *row, now, actions);
         else if (row->call.verb == Verb::Cancel)
             withdraw(state, *row, now, actions);
         else
@@ -436,9 +437,10 @@
     row.retrying = false;
     bool isUndecided = row.call.verb == Verb::Submit && !mayBeStored(state, row.jobId);
     const Route* route = isUndecided ? findRouteByName(*state.configuration.value, row.route) : nullptr;
-    if (route && isTurnedAway(state, *route, row.jobId))
+    if (route && isTurnedAway(state, *route, row.team, row.jobId, now.steady)) {
+        recordRefused(state, row.route, row.team, *row.call.spec);
         turnAwayUnlessStored(state, row, actions);
-    else if (row.call.verb == Verb::Submit)
+    } else if (row.call.verb == Verb::Submit)
         storeJob(state, row, now, actions);
     else if (row.call.verb == Verb::Cancel)
         cancel(state, row, actions);
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 
+#include "src/cell/Admission.h"
 #include "src/cell/Commits.h"
 #include "src/cell/Keys.h"
 #include "src/cell/Latency.h"
 #include "src/cell/Occurrences.h"
+#include "src/cell/Ownership.h"
 #include "src/cell/RecordCodec.h"
 #include "src/cell/Runs.h"
 #include "src/cell/StoreCalls.h"
@@ -188,6 +190,9 @@
     }
     JobRow& row = state.jobs.emplace(id, makeRow(*record, entry.modRevision)).first->second;
     beginOccurrences(state, row, now.steady);
+    // While an owner recovers, it reads jobs that were accepted at any time.
+    if (isOwner(state))
+        recordAccepted(state, row);
     if (state.cancellations.count(id) > 0)
         endJob(state, row, JobState::Cancelled, "cancelled by its team", now, actions);
 }
--- a/src/cell/LoopDelay.cpp
+++ b/src/cell/LoopDelay.cpp
@@ -9,6 +9,9 @@
 /// below kOverloadDelay.
 static constexpr Duration kMostWeightOfTurn = std::chrono::milliseconds(200);
 static constexpr Duration kLongestDelayOfTurn = std::chrono::milliseconds(300);
+static constexpr Duration kBusySmoothingTime = std::chrono::milliseconds(500);
+static constexpr double kSaturatedShare = 0.85;
+static constexpr Duration kLateDelay = std::chrono::milliseconds(70);
 static constexpr Duration kOverloadDelay = std::chrono::milliseconds(100);
 static constexpr Duration kSlackDelay = std::chrono::milliseconds(45);
 static constexpr int kPausePerDelay = 4; ///< Pause, as a multiple of the delay.
@@ -24,6 +27,22 @@
     loop.smoothed += std::chrono::duration_cast<Duration>((bounded - loop.smoothed) * share);
 }
 
+void recordTurnEnd(LoopDelay& loop, TimePoint due, TimePoint now)
+{
+    Duration period = now - loop.endedAt;
+    Duration work = now - std::max(due, loop.endedAt);
+    loop.endedAt = now;
+    if (period <= Duration(0))
+        return;
+    double share = std::clamp(std::chrono::duration<double>(work) / std::chrono::duration<double>(period), 0.0, 1.0);
+    double weight = std::chrono::duration<double>(std::min(period, kMostWeightOfTurn)) / std::chrono::duration<double>(kBusySmoothingTime);
+    loop.busyShare += (share - loop.busyShare) * weight;
+}
+
+bool hasLateTurns(const LoopDelay& loop) { return loop.smoothed > kLateDelay; }
+
+bool isSaturated(const LoopDelay& loop) { return hasLateTurns(loop) || loop.busyShare > kSaturatedShare; }
+
 bool isOverloaded(const LoopDelay& loop) { return loop.smoothed > kOverloadDelay; }
 
 bool hasSlack(const LoopDelay& loop) { return loop.smoothed < kSlackDelay; }
--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cell.pb.h"
+#include "src/cell/Admission.h"
 #include "src/cell/Advice.h"
 #include "src/cell/Declarations.h"
 #include "src/cell/Delegation.h"
@@ -111,6 +112,12 @@
     case wire::PeerMessage::kQueueNotice:
         decodeQueueNotice(state, message.queue_notice(), now, actions);
         return;
+    case wire::PeerMessage::kRefusalReport:
+        handleRefusalReport(state, message.refusal_report());
+        return;
+    case wire::PeerMessage::kAdmissionNotice:
+        handleAdmissionNotice(state, message.admission_notice(), now);
+        return;
     case wire::PeerMessage::BODY_NOT_SET: // Joined frames.
         return;
     default:
--- a/tests/CellOverloadTest.cpp
+++ b/tests/CellOverloadTest.cpp
@@ -89,7 +89,7 @@
     {
         const CellState& core = emulator.core((firstOwner + 1) % static_cast<std::size_t>(settings.instances));
         const Route* route = core.configuration.value ? findRoute(*core.configuration.value, "host", prefixOf(n) + jobId(n)) : nullptr;
-        return route && isTurnedAway(core, *route, jobId(n));
+        return route && isTurnedAway(core, *route, "", jobId(n), emulator.now());
     }
 
     bool hasFirstOwner() const
--- a/tests/emulator/EventLoop.cpp
+++ b/tests/emulator/EventLoop.cpp
@@ -100,6 +100,8 @@
     loop.actions.clear();
     dispatch(caller, actions);
     loop.isBusy = false;
+    if (isRunning(caller))
+        recordTurnEnd(m_instances[caller.instance].state->loop, loop.due, now());
     if (!loop.inbox.empty()) {
         beginTurn(caller, now());
         return;
