Spend fewer placement passes on work that can wait

Callers saw: with hundreds of waiting jobs in a full cell, placement took almost half of the owner's time, and urgent jobs waited for it. Cause: each pass looked at all waiting jobs, also those that are late and find no room. Change: with more than 64 waiting jobs, passes between full ones, 40 ms apart, look only at the most urgent jobs that are in time. A saturated owner starts few late jobs a pass.

--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -6,6 +6,7 @@
 
 #include "cell.pb.h"
 #include "src/cell/CellState.h"
+#include "src/cell/DelegationCodec.h"
 #include "src/cell/Keys.h"
 #include "src/cell/RecordCodec.h"
 
@@ -21,6 +22,7 @@
 constexpr StoreRevision kConfigurationRevision = 1;
 constexpr int kUpstreamsPerInstance = 8;
 constexpr Duration kAdviceValidity = std::chrono::milliseconds(2000);
+constexpr std::int64_t kSmallShare = 1; ///< Thousandths of a core.
 constexpr Resources kCapacity { 64000, 262144, 0, 0 };
 
 struct ScheduledEvent {
@@ -48,17 +50,19 @@
 /// An owner with stubs of the store and the upstreams.
 struct Owner {
     /// `limit` is the limit of the only team, in thousandths of a core; 0: no limit.
-    explicit Owner(int size, std::int64_t limit = 0, const std::optional<AdviceTiming>& advice = std::nullopt)
+    explicit Owner(int size, std::int64_t limit = 0, const std::optional<AdviceTiming>& advice = std::nullopt, bool delegates = false)
         : instances(std::max(1, size / kUpstreamsPerInstance))
-        , state(makeSettings(), makeFormat(size, limit, advice))
+        , state(makeSettings(delegates), makeFormat(size, limit, advice))
     {
         while (state.ownership.phase != OwnerPhase::Deciding || state.upstreams.size() < static_cast<std::size_t>(size))
             step();
     }
 
-    static CellSettings makeSettings()
+    /// With a processor share the owner is too small to call all upstreams itself.
+    static CellSettings makeSettings(bool delegates)
     {
         CellSettings settings;
+        settings.milliCpu = delegates ? kSmallShare : 0;
         settings.instance = "i0";
         settings.incarnation = "i0-1";
         settings.address = "i0:1";
@@ -153,6 +157,32 @@
         }
     }
 
+    /// Results of calls that the owner made through a delegate go back as a frame.
+    template <typename CallResult>
+    void answerCall(const CallResult& result)
+    {
+        auto it = queries.find(result.ticket);
+        if (it == queries.end()) {
+            events.push({ now + kRoundTrip, result });
+            return;
+        }
+        cellwire::PeerMessage answer;
+        answer.set_call(it->second);
+        encode(result, *answer.mutable_upstream_answer());
+        queries.erase(it);
+        events.push({ now + kRoundTrip, PeerFrame { "", answer.SerializeAsString() } });
+    }
+
+    void performForOwner(const cellwire::PeerMessage& query)
+    {
+        constexpr Ticket kFirstTicket = Ticket { 1 } << 40; // Above those of the owner.
+        Ticket ticket = kFirstTicket + query.call();
+        queries[ticket] = query.call();
+        std::optional<CellAction> call = decodeCall(query.upstream_call(), ticket);
+        if (call)
+            std::visit([this](const auto& it) { perform(it); }, *call);
+    }
+
     void answerPoll(BenchUpstream& upstream, const UpstreamPoll& poll)
     {
         PollResult result;
@@ -164,7 +194,7 @@
             result.running.push_back(run);
         result.ended = upstream.ended;
         upstream.waiting.reset();
-        events.push({ now + kRoundTrip, result });
+        answerCall(result);
     }
 
     void answerStore(Ticket ticket, StoreReply reply = {})
@@ -208,7 +238,7 @@
         ++starts;
         upstreams[order.target.id].running[order.task] = { order.task, order.run, "", 0, 0 };
         completions.push({ now + kRunTime, order.target.id, order.task });
-        events.push({ now + kRoundTrip, OrderResult { order.ticket, OrderOutcome::Ok, 0 } });
+        answerCall(OrderResult { order.ticket, OrderOutcome::Ok, 0 });
     }
 
     void perform(const AdviceRequest& request)
@@ -222,7 +252,7 @@
         events.push({ now + kRoundTrip, result });
     }
 
-    /// Peers answer questions for advice, and nothing else.
+    /// Peers answer questions for advice, and make calls to upstreams.
     void perform(const SendPeerFrame& frame)
     {
         cellwire::PeerMessage message;
@@ -237,6 +267,8 @@
 
     void answerPeerMessage(const cellwire::PeerMessage& query)
     {
+        if (query.has_upstream_call())
+            performForOwner(query);
         if (!query.has_advice_query())
             return;
         cellwire::PeerMessage message;
@@ -281,6 +313,7 @@
     std::priority_queue<RunCompletion> completions;
     std::map<std::string, BenchUpstream> upstreams;
     std::optional<StoreAwait> watch;
+    std::map<Ticket, std::uint64_t> queries; ///< Calls for the owner in flight, by the delegate's ticket.
     CellActions actions;
     StoreRevision revision { 1 };
     std::int64_t jobs { 0 };
@@ -292,9 +325,9 @@
 
 /// One simulated second per iteration; the counter `s_a_start` is the processor time per start,
 /// printed in microseconds.
-static void runUnderSteadyLoad(benchmark::State& bench, const std::optional<AdviceTiming>& advice)
+static void runUnderSteadyLoad(benchmark::State& bench, const std::optional<AdviceTiming>& advice, bool delegates = false)
 {
-    Owner owner(static_cast<int>(bench.range(0)), 0, advice);
+    Owner owner(static_cast<int>(bench.range(0)), 0, advice, delegates);
     constexpr int kSteps = 125;
     std::int64_t jobs = std::max<std::int64_t>(1, bench.range(0) * kStartsOfUpstream / kTasksOfJob / kSteps);
     for (auto _ : bench) {
@@ -317,6 +350,13 @@
 }
 BENCHMARK(ownerWithAdvice)->Arg(48)->Arg(350)->Arg(1100)->Arg(1900)->Iterations(20)->Unit(benchmark::kMillisecond);
 
+/// The same with all calls to upstreams made by delegates; includes the encoding of both sides.
+static void ownerWithDelegates(benchmark::State& bench)
+{
+    runUnderSteadyLoad(bench, AdviceTiming { std::chrono::milliseconds(8), std::chrono::microseconds(120), kAdviceValidity }, true);
+}
+BENCHMARK(ownerWithDelegates)->Arg(48)->Arg(350)->Arg(1100)->Arg(1900)->Iterations(20)->Unit(benchmark::kMillisecond);
+
 /// Cost of one 8 ms step with upstreams full of resumable tasks at their team's limit and a backlog of
 /// urgent jobs that need advice, so that almost nothing can start.
 static void ownerWithBacklog(benchmark::State& bench)
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -37,9 +37,15 @@
 static constexpr int kMaxPreemptionsPerTask = 1;
 /// A search visits all runs, so a backlog of searches would take all of the owner's time.
 static constexpr int kMaxVictimSearchesPerPass = 8;
+/// With more waiting jobs than this, most of which find the cell full, most passes are for the most urgent class only. The
+/// others can wait a little longer, and would take the processor time that urgent jobs need.
+static constexpr std::size_t kMaxJobsPerUrgentPass = 64;
+static constexpr Duration kFullPassInterval = std::chrono::milliseconds(40);
 /// The orders of one pass are sent in one turn of the event loop, which must not take long. A step is started whole, and the
 /// next pass follows sooner.
 static constexpr std::int64_t kMaxStartsPerPass = 80;
+/// Of these, starts of jobs that are late anyway, while the owner is saturated. They would delay what can still be in time.
+static constexpr std::int64_t kMaxLateStartsPerPass = 8;
 static constexpr int kPauseDivisor = 4; ///< Of the pause after a pass that was cut short.
 /// Allows for a stop order that has to be resent.
 static constexpr Duration kReservationSlack = std::chrono::milliseconds(200);
@@ -310,7 +316,10 @@
     std::int64_t pairsBefore = state.examinedPairs;
     openDueOccurrences(state, now);
     updateUnseenUse(state, now.wallMs);
-    std::vector<Candidate> candidates = collectCandidates(state, now);
+    bool onlyUrgent = now.steady < state.nextFullPlacement && state.waitingJobs.size() > kMaxJobsPerUrgentPass;
+    if (!onlyUrgent)
+        state.nextFullPlacement = now.steady + kFullPassInterval;
+    std::vector<Candidate> candidates = collectCandidates(state, onlyUrgent, now);
     PlacementPass pass;
     // While the store is away from the fleet there can't be a successor.
     pass.lossesKnownUntil = isStoreAwayFromFleet(state, now.steady) ? now.steady : state.membership.listing.at;
@@ -320,8 +329,14 @@
     renewReservations(candidates, pass.reservations, now.steady);
     std::int64_t startsBefore = state.counters.get("task_starts_total");
     bool isCutShort = false;
+    std::int64_t startsInTime = 0;
     for (const Candidate& candidate : candidates) {
-        if (state.counters.get("task_starts_total") - startsBefore >= kMaxStartsPerPass) {
+        std::int64_t starts = state.counters.get("task_starts_total") - startsBefore;
+        if (candidate.timeliness == Timeliness::InTime)
+            startsInTime = starts;
+        else if (isSaturated(state.loop) && starts - startsInTime >= kMaxLateStartsPerPass)
+            break;
+        if (starts >= kMaxStartsPerPass) {
             state.placementDue = true;
             isCutShort = true;
             break;
