Emulate interference and pace on upstreams

Emulated upstreams knew no images, tails or pace, so that pacing could not be tested without a network. A script without these words behaves as before, and pace orders are executed like others.

--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -36,7 +36,7 @@
         std::string id = "u" + std::to_string(n);
         UpstreamSlot& slot = m_upstreams[id];
         slot.entry = { id, kDirectoryService, id + ":1", domainName(static_cast<std::size_t>(n)), false, Duration(0), settings.capacity, {}, "rack-" + std::to_string(n / 2), m_queue.now().wallMs - 1000 };
-        slot.incarnation = std::make_unique<EmulatedUpstream>(id, slot.entry.bornMs, m_history, m_failures);
+        slot.incarnation = std::make_unique<EmulatedUpstream>(id, slot.entry.bornMs, m_history, m_failures, m_interference);
     }
     for (std::size_t n = 0; n < m_instances.size(); ++n)
         boot(n);
@@ -69,7 +69,7 @@
         entry.bornMs = m_queue.now().wallMs;
         UpstreamSlot& successor = m_upstreams[entry.id];
         successor.entry = entry;
-        successor.incarnation = std::make_unique<EmulatedUpstream>(entry.id, entry.bornMs, m_history, m_failures);
+        successor.incarnation = std::make_unique<EmulatedUpstream>(entry.id, entry.bornMs, m_history, m_failures, m_interference);
     });
 }
 
@@ -117,7 +117,7 @@
     UpstreamSlot& slot = m_upstreams.at(id);
     slot.incarnation->crash(now());
     slot.entry.bornMs = m_queue.now().wallMs;
-    slot.incarnation = std::make_unique<EmulatedUpstream>(id, slot.entry.bornMs, m_history, m_failures);
+    slot.incarnation = std::make_unique<EmulatedUpstream>(id, slot.entry.bornMs, m_history, m_failures, m_interference);
 }
 
 void CellEmulator::startStrayRun(const std::string& upstream, const std::string& task, int run, const TaskScript& script)
@@ -140,7 +140,7 @@
     entry.bornMs = m_queue.now().wallMs;
     UpstreamSlot& slot = m_upstreams[entry.id];
     slot.entry = entry;
-    slot.incarnation = std::make_unique<EmulatedUpstream>(entry.id, entry.bornMs, m_history, m_failures);
+    slot.incarnation = std::make_unique<EmulatedUpstream>(entry.id, entry.bornMs, m_history, m_failures, m_interference);
     slot.isCut = true;
 }
 
@@ -357,6 +357,7 @@
 
 static OrderOutcome apply(EmulatedUpstream& upstream, const RunStart& order, TimePoint now) { return upstream.start(order, now); }
 static OrderOutcome apply(EmulatedUpstream& upstream, const RunStop& order, TimePoint now) { return upstream.stop(order, now); }
+static OrderOutcome apply(EmulatedUpstream& upstream, const RunPace& order, TimePoint now) { return upstream.pace(order, now); }
 
 template <typename Order>
 void CellEmulator::deliverOrder(const Caller& caller, const Order& order)
@@ -391,7 +392,12 @@
 
 void CellEmulator::perform(const Caller& caller, const RunPace& order)
 {
-    deliver(caller, latency(1, 4), OrderResult { order.ticket, OrderOutcome::Ok, 0 });
+    ++m_paceOrders;
+    if (chance(m_lostPaceOrders)) {
+        deliver(caller, kCallTimeout, OrderResult { order.ticket, OrderOutcome::NoAnswer, 0 });
+        return;
+    }
+    deliverOrder(caller, order);
 }
 
 void CellEmulator::perform(const Caller& caller, const AdviceRequest& request)
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -108,9 +108,17 @@
     void addOddEntry(const std::string& id);
     /// The upstream's entry shows the capacity from now on; the upstream itself starts whatever it is told to.
     void setCapacity(const std::string& id, const Resources& capacity) { m_upstreams.at(id).entry.capacity = capacity; }
+    /// How best-effort tasks disturb serving tasks; may be changed at any time.
+    EmulatedInterference& interference() { return m_interference; }
+    /// Share of pace orders that are lost: they get no answer and have no effect.
+    void setPaceOrdersLost(double share) { m_lostPaceOrders = share; }
     void evacuate(const std::string& domain, bool isEvacuated);
 
     // Observation.
+    /// Number of pace orders that instances have sent.
+    int paceOrders() const { return m_paceOrders; }
+    /// Pace of the run, in percent; unset: it doesn't run on the upstream.
+    std::optional<int> paceOf(const std::string& upstream, const std::string& task) const { return m_upstreams.at(upstream).incarnation->paceOf(task); }
     std::optional<std::size_t> owner() const;
     /// An instance besides `former` that takes itself for the owner.
     std::optional<std::size_t> ownerOtherThan(std::size_t former) const;
@@ -231,6 +239,9 @@
     std::map<std::string, UpstreamSlot> m_upstreams;
     std::vector<RunRecord> m_history;
     std::map<std::string, int> m_failures;
+    EmulatedInterference m_interference;
+    double m_lostPaceOrders { 0.0 };
+    int m_paceOrders { 0 };
     std::map<std::string, CallerJob> m_jobs;
     std::map<std::pair<std::size_t, CallId>, std::function<void(const EntryReply&)>> m_calls;
     CallId m_nextCall { 1 };
