Pace best-effort runs that slow serving runs down

Serving tasks stayed over their target beside best-effort tasks for as long as those ran: nothing looked at the gauges that upstreams list, and no pace was ever ordered. The owner learns growth of the tail by pair of images, slows best-effort runs beside a serving run over its target, returns full speed in steps, and places known bad pairs on one upstream last. Pace orders have tickets of their own beside the start and stop orders of a run, and are sent again without an answer.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -6,6 +6,7 @@
 #include "src/cell/Declarations.h"
 #include "src/cell/Delegation.h"
 #include "src/cell/Entry.h"
+#include "src/cell/Interference.h"
 #include "src/cell/Membership.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/PeerCalls.h"
@@ -96,6 +97,7 @@
         { "placement", tickPlacement },
         { "commits", tickCommits },
         { "entry", tickEntry },
+        { "interference", tickInterference },
         { "stop", tickStop },
         // Redirects the calls to upstreams of all systems before it.
         { "delegation", tickDelegation },
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -18,6 +18,7 @@
 #include "src/cell/CellSettings.h"
 #include "src/cell/Confirmation.h"
 #include "src/cell/FleetPolicy.h"
+#include "src/cell/InterferenceModel.h"
 #include "src/cell/JobSpec.h"
 #include "src/cell/LoopDelay.h"
 #include "src/cell/Messages.h"
@@ -121,6 +122,17 @@
 
 using JobTable = std::unordered_map<std::string, JobRow>;
 
+/// Pace orders of a run. They are independent of its start and stop orders; see Interference.h.
+struct PaceOrder {
+    int wanted { 100 }; ///< Percent of full speed.
+    int ordered { 100 }; ///< By the latest order.
+    Ticket ticket { 0 }; ///< The order in flight; 0: none.
+    bool isPaceKnown { true }; ///< False: an earlier owner, or an order without an answer, may have changed the pace.
+    TimePoint next; ///< Earliest time of the next order.
+    /// An order without an answer may be executed until about then, after later ones. The pace is then ordered again.
+    std::optional<TimePoint> repeatAt;
+};
+
 /// A run. It holds room on its upstream until its end is confirmed.
 struct RunRow {
     TaskKey task;
@@ -143,7 +155,11 @@
     std::int64_t startedMs { 0 }; ///< Unix time of the start order; 0: the run was adopted.
     int percent { 0 }; ///< Last reported progress.
     std::int64_t gauge { 0 }; ///< Last reported load; see RunListing.
-    int pace { 100 }; ///< Percent of full speed.
+    int pace { 100 }; ///< Percent of full speed, as last confirmed by the upstream.
+    PaceOrder paceOrder;
+    std::string image;
+    Duration tailTarget { 0 }; ///< Of a serving task; 0: the run isn't one.
+    bool isBestEffort { false };
     int priority { 0 }; ///< Priority of the route; 0 is the most urgent.
     bool isPreemptible { false }; ///< A stop loses no work, and the task has preemptions left.
 };
@@ -197,6 +213,7 @@
     std::int64_t acknowledged { 0 }; ///< Run ends up to this number are stored.
     std::deque<PendingEnd> pendingEnds; ///< Processed ends above `acknowledged`.
     TimePoint backoffUntil; ///< No new runs are placed before this.
+    PaceControl pacing;
 };
 
 /// Upstream id and formatted task key of a run.
@@ -409,6 +426,13 @@
     TimePoint avoidUntil; ///< Backoff after a timeout.
 };
 
+/// What the owner has learned of tasks that slow each other down, and its pace orders.
+struct InterferenceState {
+    LearnedPairs pairs;
+    std::set<RunName> unsettled; ///< Runs whose pace is not the wanted one, or not known.
+    std::map<Ticket, RunName> orders; ///< Pace orders in flight.
+};
+
 /// The latest plan of admission that this instance has made or was sent.
 struct KnownPlan {
     AdmissionPlan plan;
@@ -480,6 +504,7 @@
     std::map<std::string, RoomUse> teamUse; ///< Of the runs of each team.
     std::unordered_map<std::string, int> runsOfJob; ///< Number of runs that hold room, by job.
     std::multimap<TimePoint, RunName> orderRetries; ///< Runs whose order is resent then, if still needed.
+    InterferenceState interference;
     CommitQueue commits;
     bool placementDue { false }; ///< Something changed that a placement pass may act on.
     TimePoint nextPlacement;
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -54,6 +54,7 @@
     state.finished.clear();
     state.cancellations.clear();
     state.upstreams.clear();
+    state.interference = InterferenceState {};
     state.teamUse.clear();
     state.commits = CommitQueue {};
     state.adviceLoads.clear();
--- a/src/cell/Place.cpp
+++ b/src/cell/Place.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/cell/Fit.h"
+#include "src/cell/Interference.h"
 #include "src/cell/Upstreams.h"
 
 namespace crocuslever::cell {
@@ -58,7 +59,7 @@
 {
     auto end = places.begin() + static_cast<std::ptrdiff_t>(std::min(n, places.size()));
     std::partial_sort(places.begin(), end, places.end(), [](const Place& a, const Place& b) {
-        return std::make_tuple(!a.isNearData, a.leftMilliCpu, a.upstream->incarnation) < std::make_tuple(!b.isNearData, b.leftMilliCpu, b.upstream->incarnation);
+        return std::make_tuple(a.hasBadPair, !a.isNearData, a.leftMilliCpu, a.upstream->incarnation) < std::make_tuple(b.hasBadPair, !b.isNearData, b.leftMilliCpu, b.upstream->incarnation);
     });
 }
 
@@ -75,7 +76,7 @@
         if (fits == 0)
             return;
         bool isNear = spec.dataRack.empty() || spec.dataRack == upstream.entry.rack;
-        places.push_back({ &upstream, fits, room.milliCpu - spec.each.milliCpu, isNear });
+        places.push_back({ &upstream, fits, room.milliCpu - spec.each.milliCpu, isNear, wouldMeetBadPair(state.interference, spec, upstream, now) });
     });
     sortPlaces(places, spec.gang ? places.size() : static_cast<std::size_t>(most) + 1);
     return places;
--- a/src/cell/Place.h
+++ b/src/cell/Place.h
@@ -11,10 +11,11 @@
     int fits { 0 }; ///< Number of tasks that fit.
     std::int64_t leftMilliCpu { 0 }; ///< Free processor share after one task was placed.
     bool isNearData { false };
+    bool hasBadPair { false }; ///< A task of the step and a run there are known to disturb each other.
 };
 
 /// The open upstreams on which tasks of the step may start now, with room for at most `most` of them.
-/// Upstreams near the step's data come first, then the fullest. For a gang all places are in this order, else as many as
+/// Upstreams without a known bad pair come first, of these those near the step's data, then the fullest. For a gang all places are in this order, else as many as
 /// `most` tasks can use when each of them avoids one upstream.
 std::vector<Place> findPlaces(CellState&, const Candidate&, int most, const PlacementPass&, TimePoint now);
 
--- a/src/cell/Placement.cpp
+++ b/src/cell/Placement.cpp
@@ -6,6 +6,7 @@
 #include "src/cell/Candidate.h"
 #include "src/cell/Declarations.h"
 #include "src/cell/Fit.h"
+#include "src/cell/Interference.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/LargestRoom.h"
 #include "src/cell/Occurrences.h"
@@ -63,6 +64,7 @@
     row.priority = candidate.priority;
     row.isPreemptible = isResumable(specOf(candidate)) && findTask(state, key)->preemptions < kMaxPreemptionsPerTask;
     row.checkpoint = findTask(state, key)->checkpoint;
+    describeInterference(row, specOf(candidate));
     const std::string* ticket = candidate.route->advice ? findTicket(rowOf(candidate), upstream, now) : nullptr;
     if (ticket)
         row.advice = *ticket;
--- a/src/cell/Runs.cpp
+++ b/src/cell/Runs.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "src/cell/Interference.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Latency.h"
 #include "src/cell/Ownership.h"
@@ -233,6 +234,7 @@
     const RunRow& run = it->second;
     releaseRoom(state, upstream, run);
     state.orders.erase(run.order);
+    state.interference.orders.erase(run.paceOrder.ticket);
     upstream.runs.erase(it);
     state.placementDue = true;
 }
@@ -328,8 +330,10 @@
 void handleOrderResult(CellState& state, const OrderResult& result, const Instant& now, CellActions& actions)
 {
     auto order = state.orders.find(result.ticket);
-    if (order == state.orders.end())
+    if (order == state.orders.end()) {
+        handlePaceResult(state, result, now, actions);
         return;
+    }
     auto [id, name] = order->second;
     state.orders.erase(order);
     auto upstream = state.upstreams.find(id);
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -6,6 +6,7 @@
 #include "src/cell/Declarations.h"
 #include "src/cell/Delegation.h"
 #include "src/cell/Fit.h"
+#include "src/cell/Interference.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Occurrences.h"
 #include "src/cell/Ownership.h"
@@ -106,7 +107,7 @@
     // could then never be declared expired.
     poll.leaseUntilMs = upstream.failedPolls > 0 ? 0 : leaseUntil(state, upstream, now.steady);
     bool isImmediate = !upstream.fenced || upstream.failedPolls > 0 || hasUnstoredEnds;
-    poll.wait = isImmediate ? Duration(0) : kPollWait;
+    poll.wait = isImmediate ? Duration(0) : std::min(kPollWait, maxPollWait(upstream));
     extendLease(upstream, poll.leaseUntilMs);
     upstream.poll = poll.ticket;
     upstream.pollSentAt = now.steady;
@@ -234,11 +235,14 @@
     RunRow run;
     run.task = key;
     run.run = listing.run;
+    run.gauge = listing.gauge;
     run.amount = amountOf(specOf(*job, key));
     run.team = job->record.team;
     const Route* route = state.configuration.value ? findRouteByName(*state.configuration.value, job->record.route) : nullptr;
     run.priority = route ? route->priority : 0;
     run.isPreemptible = isResumable(specOf(*job, key));
+    describeInterference(run, specOf(*job, key));
+    run.paceOrder.isPaceKnown = !run.isBestEffort;
     adoptRun(state, upstream, run, now);
     upstream.leasesEnd = std::max(upstream.leasesEnd, leaseEndAfter(now.steady, state.settings.runLease));
     logMessage(actions, LogLevel::Info, "task.adopt", upstream.entry.id, key.job, listing.task + " run " + std::to_string(listing.run) + " adopted: already running");
@@ -329,6 +333,7 @@
     for (const RunListing& listing : result.running)
         applyRunListing(state, upstream, listing, result.ticket, now, actions);
     endUnlistedRuns(state, upstream, result, now, actions);
+    updateInterference(state, upstream, now, actions);
     if (!upstream.fenced) {
         upstream.fenced = true;
         state.placementDue = true;
