--- a/tests/InterferenceTest.cpp
+++ b/tests/InterferenceTest.cpp
@@ -1,7 +1,5 @@
 // Best-effort tasks that slow serving tasks down: what is learned, the pace that follows, and a cell on the emulator.
 
-#include <cmath>
-
 #include <boost/test/unit_test.hpp>
 
 #include "src/cell/Interference.h"
@@ -16,7 +14,7 @@
 
 static TimePoint at(int readings) { return TimePoint() + std::chrono::seconds(1000) + readings * kInterval; }
 
-static InterferenceReading makeReading(double tail, std::vector<int> paces, const std::string& image = "batch")
+static InterferenceReading makeReading(double tail, const std::vector<int>& paces, const std::string& image = "batch")
 {
     InterferenceReading reading;
     reading.serving.push_back({ "serve", tail });
