Judge timeliness by learned run times

Callers saw jobs in a burst end late although there was room for many of them: submitters' run-time estimates are off by a factor of e^0.5 to e^0.9. Jobs with a high estimate took the room when they had long become late, and jobs with a low one were given up too early.

The owner now learns run times by route and image from runs that ended as done, and combines them with the estimate by the spread of both. The objective uses the expected run time; the remaining path uses a run time that is rarely exceeded. Estimates that are right within a factor of 1.28 stay as they are. Runs that were adopted, resumed, ordered more than once, paced or away from their data, and ends in the first answer after a failed poll, are left out. What was learned is dropped with the ownership. CellSettings::learnsRunTimes switches it off.

--- a/src/cell/Candidate.cpp
+++ b/src/cell/Candidate.cpp
@@ -19,27 +19,24 @@
 
 const StepSpec& specOf(const Candidate& candidate) { return specOf(*candidate.job, candidate.step); }
 
-/// Length of the critical path through the steps that are not done, by the submitter's estimates. Tasks that run count as done,
-/// since the job needs no more room for them.
+/// Length of the critical path by what was learned; by the submitter's estimates for a job that no pass has seen yet.
+static Duration expectedPath(const JobRow& job) { return job.expected.steps.empty() ? job.estimatedCriticalPath : job.expected.criticalPath; }
+
+/// Length of the critical path through the steps that are not done. Tasks that run count as done, since the job needs no
+/// more room for them.
 static Duration remainingPath(const JobRow& job)
 {
     auto occurrence = job.occurrences.find(0);
     if (!job.hasStarted || occurrence == job.occurrences.end())
-        return job.estimatedCriticalPath;
+        return job.expected.steps.empty() ? job.estimatedCriticalPath : criticalPath(job.record.spec, job.expected.steps);
     const std::vector<StepRow>& rows = occurrence->second.steps;
-    std::vector<Duration> ends;
-    Duration longest { 0 };
+    const JobSpec& spec = job.record.spec;
+    std::vector<Duration> runTimes;
     for (std::size_t n = 0; n < rows.size(); ++n) {
-        const StepSpec& spec = job.record.spec.steps[n];
-        Duration start { 0 };
-        for (int earlier : spec.after) {
-            if (earlier >= 0 && static_cast<std::size_t>(earlier) < ends.size())
-                start = std::max(start, ends[earlier]);
-        }
-        ends.push_back(start + (rows[n].waiting > 0 ? spec.estimate : Duration(0)));
-        longest = std::max(longest, ends.back());
+        Duration whole = job.expected.steps.empty() ? spec.steps[n].estimate : job.expected.steps[n];
+        runTimes.push_back(rows[n].waiting > 0 ? whole : Duration(0));
     }
-    return longest;
+    return criticalPath(spec, runTimes);
 }
 
 /// Late jobs go last: in a full cell they would otherwise make every job behind
@@ -48,7 +45,7 @@
 {
     if (job.record.spec.occurrences > 0)
         return Timeliness::InTime;
-    double criticalPathMs = static_cast<double>(toMilliseconds(job.estimatedCriticalPath));
+    double criticalPathMs = static_cast<double>(toMilliseconds(expectedPath(job)));
     double remainingMs = static_cast<double>(toMilliseconds(remainingPath(job)));
     double objectiveMs = route.stretch * criticalPathMs + static_cast<double>(toMilliseconds(route.targetDuration));
     double ageMs = static_cast<double>(wallMs - job.record.acceptedMs);
@@ -62,6 +59,8 @@
     const Route* route = findRouteByName(*state.configuration.value, job.record.route);
     if (!route || job.ended || (onlyPriority && route->priority != *onlyPriority) || mayHaveUnknownRun(state, job))
         return;
+    if (state.settings.learnsRunTimes)
+        updateExpectedTimes(job.expected, state.runTimes, job.record.route, job.record.spec);
     Timeliness timeliness = classifyTimeliness(job, *route, now.wallMs);
     if (onlyPriority && timeliness != Timeliness::InTime)
         return;
@@ -104,6 +103,7 @@
 {
     std::optional<int> priority = onlyUrgent ? mostUrgentPriority(*state.configuration.value) : std::nullopt;
     std::vector<Candidate> all;
+    summarizeRunTimes(state.runTimes, now.steady);
     for (const std::string& id : state.waitingJobs)
         addCandidates(state, *findJob(state, id), priority, now, all);
     if (!all.empty())
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -22,6 +22,7 @@
 #include "src/cell/JobSpec.h"
 #include "src/cell/LoopDelay.h"
 #include "src/cell/Messages.h"
+#include "src/cell/RunTimes.h"
 
 namespace crocuslever::cellwire {
 class PeerMessage;
@@ -112,6 +113,7 @@
     CompletedOccurrences completed;
     int waiting { 0 }; ///< Waiting tasks of all steps of these occurrences.
     Duration estimatedCriticalPath { 0 }; ///< Length of the critical path by the submitter's estimates.
+    ExpectedTimes expected; ///< By what was learned; brought up to date by each placement pass.
     bool hasStarted { false }; ///< True once any task has started.
     bool mayHaveProgress { false }; ///< True if the store may hold a progress record.
     std::optional<JobState> ended; ///< The final state, set before it is stored.
@@ -501,6 +503,7 @@
     TimePoint nextFinishedSweep; ///< Next expiry pass over `finished`.
     std::set<std::string> cancellations; ///< Cancelled jobs whose end is not stored or whose record is not read yet.
     UpstreamTable upstreams;
+    RunTimeTable runTimes; ///< Learned by this owner; empty unless settings.learnsRunTimes.
     std::map<std::string, RoomUse> teamUse; ///< Of the runs of each team.
     std::unordered_map<std::string, int> runsOfJob; ///< Number of runs that hold room, by job.
     std::multimap<TimePoint, RunName> orderRetries; ///< Runs whose order is resent then, if still needed.
--- a/src/cell/Jobs.cpp
+++ b/src/cell/Jobs.cpp
@@ -144,18 +144,10 @@
 /// Length of the critical path by the submitter's estimates.
 static Duration estimateCriticalPath(const JobSpec& spec)
 {
-    std::vector<Duration> ends;
-    Duration longest { 0 };
-    for (const StepSpec& step : spec.steps) {
-        Duration start { 0 };
-        for (int earlier : step.after) {
-            if (earlier >= 0 && static_cast<std::size_t>(earlier) < ends.size())
-                start = std::max(start, ends[earlier]);
-        }
-        ends.push_back(start + step.estimate);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
+    std::vector<Duration> estimates;
+    for (const StepSpec& step : spec.steps)
+        estimates.push_back(step.estimate);
+    return criticalPath(spec, estimates);
 }
 
 static JobRow makeRow(const JobRecord& record, StoreRevision revision)
--- a/src/cell/Ownership.cpp
+++ b/src/cell/Ownership.cpp
@@ -56,6 +56,7 @@
     state.upstreams.clear();
     state.interference = InterferenceState {};
     state.teamUse.clear();
+    state.runTimes = {};
     state.commits = CommitQueue {};
     state.adviceLoads.clear();
     state.delegation.isOn = false;
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -186,7 +186,27 @@
     updateEarlierRunsKnown(state, actions);
 }
 
-static void applyEnds(CellState& state, UpstreamRow& upstream, const PollResult& result, const Instant& now, CellActions& actions)
+/// True for a run that was ordered once, ran at full speed from its beginning, and ended under the eyes of this owner.
+static bool isWholeRun(const RunRow& run, const EndListing& end)
+{
+    bool isOwnStart = run.startedMs != 0 && run.orders == 1 && run.checkpoint.empty();
+    return end.how == RunEnd::Done && run.run == end.run && isOwnStart && run.pace == 100 && !run.stopping;
+}
+
+/// Runs that were adopted, resumed or slowed down, or away from their data, took another time than their tasks usually take.
+static void learnRunTime(CellState& state, const UpstreamRow& upstream, const RunRow& run, const EndListing& end, TimePoint now)
+{
+    JobRow* job = findJob(state, run.task.job);
+    if (!state.settings.learnsRunTimes || !isWholeRun(run, end) || !job || !findTask(state, run.task))
+        return;
+    const StepSpec& spec = specOf(*job, run.task);
+    if (spec.isLongRunning || (!spec.dataRack.empty() && spec.dataRack != upstream.entry.rack))
+        return;
+    recordRunTime(state.runTimes, job->record.route, spec, now - run.startedAt, now);
+    state.counters.add("run_times_learned_total");
+}
+
+static void applyEnds(CellState& state, UpstreamRow& upstream, const PollResult& result, bool areLate, const Instant& now, CellActions& actions)
 {
     for (const EndListing& end : result.ended) {
         if (end.number <= upstream.lastEnd)
@@ -198,6 +218,8 @@
             continue;
         }
         auto run = upstream.runs.find(end.task);
+        if (run != upstream.runs.end() && !areLate)
+            learnRunTime(state, upstream, run->second, end, now.steady);
         if (run != upstream.runs.end() && run->second.run <= end.run)
             removeRun(state, upstream, end.task);
         handleRunEnd(state, { *key, end.run, upstream.entry.id, end.how, end.checkpoint }, now, actions);
@@ -323,12 +345,13 @@
 
 static void applyPollResult(CellState& state, UpstreamRow& upstream, const PollResult& result, const Instant& now, CellActions& actions)
 {
+    bool areEndsLate = upstream.failedPolls > 0;
     upstream.failedPolls = 0;
     upstream.lapsedRuns.clear();
     upstream.clockMs = result.clockMs;
     upstream.clockAt = now.steady;
     upstream.clockKnown = true;
-    applyEnds(state, upstream, result, now, actions);
+    applyEnds(state, upstream, result, areEndsLate, now, actions);
     upstream.unknownRuns = 0;
     for (const RunListing& listing : result.running)
         applyRunListing(state, upstream, listing, result.ticket, now, actions);
--- a/tests/emulator/CellEmulator.cpp
+++ b/tests/emulator/CellEmulator.cpp
@@ -94,6 +94,7 @@
     settings.milliCpu = static_cast<int>(n) < m_settings.largeInstances ? kLarge : kSmall;
     settings.seed = m_random();
     settings.pollCost = m_settings.pollCost;
+    settings.learnsRunTimes = m_settings.learnsRunTimes;
     // Declarations and directory are not stored; the decoders return them directly.
     StoreFormat format;
     format.decodeDeclaration = [this](const StoreEntry& entry) { return m_declarations.decode(entry); };
