--- a/src/cell/Admission.cpp
+++ b/src/cell/Admission.cpp
@@ -338,7 +338,7 @@
     return plan ? plan->accepted : acceptedByLimit(state, priority);
 }
 
-static std::int64_t acceptedOfTeam(const CellState& state, const Route& route, const std::string& team, TimePoint now)
+std::int64_t acceptedOfTeam(const CellState& state, const Route& route, const std::string& team, TimePoint now)
 {
     const ClassPlan* plan = findClass(state, route.priority, now);
     if (!plan)
@@ -347,6 +347,12 @@
     return it == state.admissionPlan.plan.shares.end() ? plan->acceptedOfOthers : it->second;
 }
 
+std::optional<Duration> expectedWait(const CellState& state, int priority, TimePoint now)
+{
+    const ClassPlan* plan = findClass(state, priority, now);
+    return plan ? std::optional<Duration>(plan->wait) : std::nullopt;
+}
+
 /// A number from 0 to 1 that depends on the job alone, and is the same on all instances: by the FNV-1a hash.
 static double rankInClass(const std::string& jobId)
 {
--- a/src/cell/Admission.h
+++ b/src/cell/Admission.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "src/cell/CellState.h"
 
 namespace crocuslever::cellwire {
@@ -33,5 +35,9 @@
 
 /// What the cell accepts of a priority class as this instance knows it, in thousandths.
 std::int64_t acceptedOfClass(const CellState&, int priority, TimePoint now);
+/// The same of what the team offers on the route.
+std::int64_t acceptedOfTeam(const CellState&, const Route&, const std::string& team, TimePoint now);
+/// The wait of a job of that priority class that is accepted now; unset: no recent plan is known.
+std::optional<Duration> expectedWait(const CellState&, int priority, TimePoint now);
 
 } // namespace crocuslever::cell
--- a/src/cell/Entry.cpp
+++ b/src/cell/Entry.cpp
@@ -395,8 +395,7 @@
     return text.size() == kIdLength && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
-/// Validates the call and fills in its route, team and job id. Returns the reply to an invalid call.
-static std::optional<EntryReply> checkCall(const CellState& state, EntryRow& row)
+std::optional<EntryReply> checkCall(const CellState& state, EntryRow& row)
 {
     if (!state.configuration.value)
         return makeRefusal("no configuration has been read yet");
--- a/src/cell/Entry.h
+++ b/src/cell/Entry.h
@@ -10,6 +10,8 @@
 // acknowledged, and a call is refused only if it can never start the job.
 
 void handleEntryCall(CellState&, const EntryCall&, const Instant& now, CellActions&);
+/// Validates the call and fills in its route, team and job id. Returns the reply to an invalid call.
+std::optional<EntryReply> checkCall(const CellState&, EntryRow&);
 /// Retries failed store calls, and answers calls whose time is up.
 void tickEntry(CellState&, const Instant& now, CellActions&);
 
