Add crocusctl explain-placement

Missing: operators had no command for it.

Change: the command sends a specification and prints the answer, as text or JSON. Status 0: accepted; 1: not, or not for certain; 3: the file is no JSON; 5: no answer, or the instance doesn't own the cell.

Evidence: ControlTest: output, statuses, owner named, answers without an explanation, options.

--- a/src/control/Arguments.cpp
+++ b/src/control/Arguments.cpp
@@ -38,6 +38,7 @@
         { "get", { "JOB" }, "Show a job's state." },
         { "result", { "JOB" }, "Print a job's result unchanged." },
         { "cancel", { "JOB" }, "Cancel a job." },
+        { "explain-placement", {}, "Show whether the cell would accept a job now, and where its tasks could start; nothing is submitted. Status 0 if it would be accepted, 1 if not, 5 if the instance doesn't own the cell." },
     };
     return kCommands;
 }
@@ -89,7 +90,7 @@
 
 bool isJobCommand(const std::string& name) { return name == "submit" || name == "get" || name == "result" || name == "cancel"; }
 
-bool needsStore(const std::string& name) { return name != "validate" && name != "status" && !isJobCommand(name); }
+bool needsStore(const std::string& name) { return name != "validate" && name != "status" && name != "explain-placement" && !isJobCommand(name); }
 
 /// Parser of one command, with only the options that the command takes.
 class OptionReader {
@@ -154,6 +155,18 @@
             addText(m_key, "key", "The team's key; by default that of the environment variable CROCUSLEVER_KEY, which other users can't see", false, "ID.SECRET");
         if (m_name == "submit")
             addSubmitOptions();
+        if (m_name == "explain-placement")
+            addExplainOptions();
+    }
+
+    void addExplainOptions()
+    {
+        addText(m_instance, "instance", "Metrics address of the instance that owns the cell", true, "IP:port");
+        addText(m_specFile, "spec", "File with the job, as in a submission", true, "file");
+        addText(m_host, "host", "Host of the job's route", true, "name");
+        addText(m_path, "path", "Path of the submission; without a job id, the answer is for jobs like this", true, "path");
+        addText(m_key, "key", "The team's key; by default that of the environment variable CROCUSLEVER_KEY, which other users can't see", false, "key");
+        addText(m_team, "team", "Name of the team, in place of its key", false, "name");
     }
 
     void addSubmitOptions()
@@ -177,6 +190,11 @@
         arguments.kind = valueOf(m_kind);
         arguments.body = valueOf(m_body);
         arguments.bodyFile = valueOf(m_bodyFile);
+        arguments.instance = valueOf(m_instance);
+        arguments.specFile = valueOf(m_specFile);
+        arguments.host = valueOf(m_host);
+        arguments.path = valueOf(m_path);
+        arguments.team = valueOf(m_team);
         arguments.idempotent = m_idempotent && m_idempotent->getValue();
     }
 
@@ -195,6 +213,11 @@
     TextArg m_kind;
     TextArg m_body;
     TextArg m_bodyFile;
+    TextArg m_instance;
+    TextArg m_specFile;
+    TextArg m_host;
+    TextArg m_path;
+    TextArg m_team;
 };
 
 } // namespace
@@ -209,6 +232,8 @@
         return "--reason must not be empty";
     if (arguments.command == "submit" && arguments.kind != "batch" && arguments.kind != "gang" && arguments.kind != "service")
         return "--kind must be batch, gang or service";
+    if (!arguments.key.empty() && !arguments.team.empty())
+        return "--key and --team are mutually exclusive";
     if (!isJobCommand(arguments.command))
         return "";
     if (arguments.key.empty())
@@ -233,7 +258,8 @@
     try {
         Arguments arguments = OptionReader(command, version).read(words);
         const char* key = std::getenv("CROCUSLEVER_KEY");
-        if (isJobCommand(arguments.command) && arguments.key.empty() && key)
+        bool takesKey = isJobCommand(arguments.command) || (arguments.command == "explain-placement" && arguments.team.empty());
+        if (takesKey && arguments.key.empty() && key)
             arguments.key = key;
         std::string fault = findUsageError(arguments);
         if (!fault.empty())
--- a/src/control/Arguments.h
+++ b/src/control/Arguments.h
@@ -36,6 +36,11 @@
     bool idempotent { false };
     std::string body;
     std::string bodyFile;
+    std::string instance; ///< "IP:port" of an instance's metrics address.
+    std::string specFile;
+    std::string host;
+    std::string path;
+    std::string team;
 };
 
 /// Either the arguments, or the exit status after help, the version or a usage error was printed.
--- a/src/control/Commands.cpp
+++ b/src/control/Commands.cpp
@@ -7,6 +7,7 @@
 #include "src/control/ConfigurationChanges.h"
 #include "src/control/ConfigurationDiff.h"
 #include "src/control/ConfigurationStore.h"
+#include "src/control/ExplainCommand.h"
 #include "src/control/FleetStatus.h"
 #include "src/control/JobCommands.h"
 #include "src/control/RunIoContext.h"
@@ -302,6 +303,8 @@
     return ExitOk;
 }
 
+static ExitCode explain(const Context& context) { return runExplainCommand(context.io, context.arguments, context.output); }
+
 static ExitCode domainOut(const Context& context)
 {
     FailureDomainId domain(context.arguments.operands[0]);
@@ -382,6 +385,7 @@
         { "key list", listKeys },
         { "domain out", domainOut },
         { "domain in", domainIn },
+        { "explain-placement", explain },
     };
     for (const Handler& handler : kHandlers) {
         if (arguments.command == handler.command)
--- a/tests/ControlTest.cpp
+++ b/tests/ControlTest.cpp
@@ -524,6 +524,66 @@
     BOOST_TEST(runJob("result") == ExitUnknown);
 }
 
+// Explanations
+
+struct ExplainFixture : JobFixture {
+    ExitCode explain(const std::string& specFile)
+    {
+        Arguments arguments;
+        arguments.command = "explain-placement";
+        arguments.instance = entry.endpoint();
+        arguments.specFile = specFile;
+        arguments.host = "h";
+        arguments.path = "/p/";
+        arguments.key = "k";
+        return run(arguments);
+    }
+
+    TemporaryFile spec { R"({"steps":[{"count":1}]})" };
+};
+
+BOOST_FIXTURE_TEST_CASE(ExplanationIsPrinted, ExplainFixture)
+{
+    answer("POST", "/explain-placement", 200, R"({"decision":"accepted","reason":"","route":"r","team":"t","priority":1,"expected_wait_ms":null,"jobs_waiting":4,)"
+                                              R"("steps":[{"tasks":1,"within_limit":1,"upstreams":9,"fit_now":2,"left_out":{"draining":7},"choices":[{"upstream":"u4","domain":"d1","fits":3}]}]})");
+    BOOST_TEST(explain(spec.path) == ExitOk);
+    nlohmann::json sent = nlohmann::json::parse(lastBody);
+    BOOST_TEST(sent["job"] == R"({"steps":[{"count":1}]})");
+    BOOST_TEST(sent["key"] == "k");
+    for (const char* part : { "accepted\n", "route r, priority 1, team t", "not known", "4 jobs wait", "of 9 upstreams 2 have room", "left out, draining: 7", "choice: u4 (d1), fits 3" })
+        BOOST_TEST(out.str().find(part) != std::string::npos, part << " is missing in " << out.str());
+}
+
+BOOST_FIXTURE_TEST_CASE(ExplainedRefusalHasItsExitCode, ExplainFixture)
+{
+    answer("POST", "/explain-placement", 200, R"({"decision":"overloaded","reason":"full"})");
+    BOOST_TEST(explain(spec.path) == ExitRefused);
+    BOOST_TEST(out.str() == "overloaded: full\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(OwnerToAskIsNamed, ExplainFixture)
+{
+    answer("POST", "/explain-placement", 409, R"({"owner":"entry-2","owner_address":"10.0.0.2:7000"})");
+    BOOST_TEST(explain(spec.path) == ExitUnknown);
+    BOOST_TEST(err.str().find("ask instance entry-2 (its peers call it at 10.0.0.2:7000)") != std::string::npos);
+}
+
+// An older instance answers any request with its metrics.
+BOOST_FIXTURE_TEST_CASE(MetricsAreNoExplanation, ExplainFixture)
+{
+    answer("POST", "/explain-placement", 200, "owner 1\n");
+    BOOST_TEST(explain(spec.path) == ExitUnknown);
+    BOOST_TEST(out.str().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(SpecificationThatIsNoJsonIsNotSent, ExplainFixture)
+{
+    TemporaryFile broken("{");
+    BOOST_TEST(explain(broken.path) == ExitInvalidFile);
+    BOOST_TEST(explain("/nonexistent") == ExitInvalidFile);
+    BOOST_TEST(lastBody.empty());
+}
+
 // The command line
 
 static ExitCode usageOf(const std::vector<std::string>& words) { return parseArguments(words, "0").exitCode; }
@@ -540,6 +600,19 @@
     BOOST_TEST(usageOf({ "submit", "--id", "a", "--service", "s", "--kind", "urgent", "--key", "a.b", "--entry", "127.0.0.1:1" }) == ExitUsage);
 }
 
+BOOST_AUTO_TEST_CASE(ExplainPlacementTakesOneIdentity)
+{
+    std::vector<std::string> words { "explain-placement", "--instance", "127.0.0.1:1", "--spec", "f", "--host", "h", "--path", "/p/", "--team", "t" };
+    ParsedArguments parsed = parseArguments(words, "0");
+    BOOST_TEST_REQUIRE(parsed.arguments.has_value());
+    BOOST_TEST(parsed.arguments->instance == "127.0.0.1:1");
+    BOOST_TEST(parsed.arguments->specFile == "f");
+    BOOST_TEST(parsed.arguments->team == "t");
+    words.insert(words.end(), { "--key", "k" });
+    BOOST_TEST(usageOf(words) == ExitUsage);
+    BOOST_TEST(usageOf({ "explain-placement", "--spec", "f" }) == ExitUsage);
+}
+
 BOOST_AUTO_TEST_CASE(WaitTakesAnOptionalNumber)
 {
     std::vector<std::string> words { "apply", "f.yaml", "--store", "127.0.0.1:1", "--entry", "127.0.0.1:2", "--wait" };
