--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -16,6 +16,7 @@
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
 
+    pid_t pid() const { return m_pid; }
     /// Sends a signal. Has no effect once the process's end was observed by poll() or killNow().
     void signal(int number) const;
     /// The exit status, or 128 + n if signal n ended the process; empty while it runs.
