Bound what hostile clients make the HTTP servers of the platform's daemon hold

What callers saw: crowds of unfinished requests grew the daemon to 117 to 472 MB on machines of 160 MB, and kept the readiness server from answering.

Cause: only the number of connections and the size of one request were bounded, not their product; half-sent headers had the idle timeout; job bodies were decoded with every member and step that nobody reads.

Change: budgets for connections (total, by address), bytes held, requests that wait and header fields in src/http/ConnectionLimits, derived from memory_mb and descriptors; times for header and request; the request or connection that waits for longest makes room. Bodies grow with what is received. JobFilter keeps only the members of jobs that are read. Separate small budgets for readiness and metrics; a log line when limits begin and cease to refuse; counters. PlatformSettingsTest knows the new field of the template, without which it fails as it should.

Suites ConnectionLimitsTest, Platform* and CallerServerTest of unit_tests pass.

--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -12,17 +12,22 @@
 
 #include "crocuslever/Error.h"
 #include "crocuslever/Time.h"
+#include "src/http/ConnectionLimits.h"
 
 namespace crocuslever {
 
 struct HttpServerSettings {
     std::string address; ///< "IP:port"
-    std::size_t maximumConnections { 2000 }; ///< Further connections are closed immediately.
+    ConnectionLimits limits;
     std::uint64_t maximumBodyBytes { 1048576 };
     std::uint32_t maximumHeaderBytes { 16384 };
+    std::size_t maximumHeaderFields { 512 };
     Duration idleTimeout { std::chrono::seconds(60) }; ///< Longest wait for a request's first bytes.
+    Duration headerTimeout { std::chrono::seconds(5) }; ///< From a request's first bytes to the end of its header.
     Duration requestTimeout { std::chrono::seconds(10) }; ///< From a request's first bytes to its last.
     Duration writeTimeout { std::chrono::seconds(10) }; ///< For sending an answer.
+    /// Called when limits begin and cease to refuse clients, with the limit that began it; may be null.
+    std::function<void(ConnectionLimit, bool begins)> reportLimit {};
 };
 
 using ServerRequest = boost::beast::http::request<boost::beast::http::string_body>;
@@ -38,7 +43,8 @@
 /// Handles a request. May call the responder immediately or later; calls after the first are ignored.
 using RequestHandler = std::function<void(ServerRequest, Responder)>;
 
-/// HTTP/1.1 server that handles one request at a time on each connection.
+/// HTTP/1.1 server that handles one request at a time on each connection. At a limit of the totals, it closes the connection
+/// that has been waiting for a request or its rest for longest, or refuses the new one. It refuses before the handler is called.
 class HttpServer {
 public:
     HttpServer(boost::asio::io_context&, HttpServerSettings, RequestHandler);
@@ -53,8 +59,8 @@
     void beginDraining();
     /// Closes the acceptor and all connections immediately.
     void stop();
-    /// Number of open connections.
-    std::size_t connections() const;
+    /// What the clients use now, and how often each limit has refused one.
+    const ConnectionUse& use() const;
 
 private:
     class Impl;
--- a/tests/PlatformDecodeTest.cpp
+++ b/tests/PlatformDecodeTest.cpp
@@ -22,6 +22,22 @@
     BOOST_CHECK_EQUAL(spec.value().occurrences, 2);
 }
 
+/// Guards against a filter that drops members which count, or keeps those of unknown ones.
+BOOST_AUTO_TEST_CASE(IgnoresUnknownMembersOfJobs)
+{
+    Result<cell::JobSpec> spec = decodeJobSpec(R"({"x":{"steps":[{"count":9}],"a":[[[1]]]},"count":3,"spec":"text","steps":[{"y":[1,{"count":7}],"count":2,"after":[],"spec":"no"},)"
+                                               R"({"count":1,"after":[0],"image":"i","z":{}}],"max-runs":3})");
+    BOOST_REQUIRE(spec.has_value());
+    BOOST_CHECK_EQUAL(spec.value().payload, "text");
+    BOOST_REQUIRE_EQUAL(spec.value().steps.size(), 2U);
+    BOOST_CHECK_EQUAL(spec.value().steps[0].count, 2);
+    BOOST_CHECK(spec.value().steps[1].after == std::vector<int> { 0 });
+    BOOST_CHECK_EQUAL(spec.value().steps[1].image, "i");
+    BOOST_CHECK_EQUAL(spec.value().occurrences, 3);
+    // Values of unknown members count as well for whether the body is JSON.
+    BOOST_CHECK(decodeJobSpec(R"({"x":[1,,2],"steps":[{"count":1}]})").has_error());
+}
+
 BOOST_AUTO_TEST_CASE(RejectsInvalidJobs)
 {
     for (const char* body : { "", "[]", "nonsense", "{}", R"({"steps":[]})", R"({"steps":[{"cpu":1}]})", R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":1e300}]})", R"({"steps":7})" })
--- a/tests/PlatformSettingsTest.cpp
+++ b/tests/PlatformSettingsTest.cpp
@@ -17,7 +17,7 @@
     { "node", "edge-a-1" }, { "zone", "s" }, { "listen.front", "10.1.0.1:81" }, { "listen.ready", "10.1.0.1:82" }, { "ip", "10.1.0.1" },
     { "port-range.1", "99" }, { "listen.control", "10.1.0.1:83" }, { "platform.address", "10.2.0.1:1" }, { "advice", "10.2.0.2:1" },
     { "cloud.address", "10.2.0.3:1" }, { "contracts", "base,drain,tenants,quota,places,recover,advice,upkeep,sharing" }, { "limits.cpu-share", "0.25" },
-    { "limits.max-fds", "4100" }, { "bounds.hold-max-ms", "4000" }, { "bounds.stop-ms", "900" }, { "bounds.drain-ms", "3000" },
+    { "limits.max-fds", "4100" }, { "limits.memory-mb", "512" }, { "bounds.hold-max-ms", "4000" }, { "bounds.stop-ms", "900" }, { "bounds.drain-ms", "3000" },
     { "bounds.gang-timeout-ms", "5000" }, { "bounds.remote-factor", "3" }, { "bounds.config-deadline-ms", "2500" }, { "bounds.evacuate-ms", "4500" },
     { "bounds.status_s", "100" }, { "bounds.grace-s", "7" }
 };
@@ -70,6 +70,7 @@
     BOOST_TEST(settings.cell.domain == "s");
     BOOST_TEST(settings.cell.milliCpu == 250);
     BOOST_TEST(settings.maximumDescriptors == 4100);
+    BOOST_TEST(settings.memoryMb == 512);
     BOOST_TEST((settings.cell.runLease == std::chrono::seconds(4)));
     BOOST_TEST((settings.cell.evacuationDeadline == std::chrono::milliseconds(4500)));
     BOOST_TEST((settings.cell.finishedRetention == std::chrono::seconds(125)));
@@ -101,6 +102,7 @@
     BOOST_TEST((without("bounds.gang-timeout-ms").gangTimeout == defaults.gangTimeout));
     BOOST_TEST((without("bounds.stop-ms").stopTime == defaults.stopTime));
     BOOST_TEST(without("bounds.remote-factor").remoteFactor == defaults.remoteFactor);
+    BOOST_TEST(parsePlatformSettings(render(kFields, "limits.memory-mb"), "settings.yaml").value().memoryMb == PlatformSettings().memoryMb);
     BOOST_TEST(without("limits.cpu-share").milliCpu == defaults.milliCpu);
 }
 
