Lower the budget of held bytes to a sixth of the memory

Cause: with a fifth, UnfinishedBodiesInSmallPieces peaked at 61408 to 64344 KiB in three runs, close to its bound of 65536.

--- a/src/http/ConnectionLimits.cpp
+++ b/src/http/ConnectionLimits.cpp
@@ -80,8 +80,9 @@
 
 ConnectionLimits deriveLimits(std::int64_t memoryMb, std::size_t maximumConnections)
 {
-    // A fifth of the memory: at 160 MB it holds 100 bodies of 262,144 bytes with their headers. The state of the cell needs the rest.
-    constexpr std::int64_t kPartOfMemory = 5;
+    // A sixth of the memory: at 160 MB it holds the largest bodies and headers of 80 clients. With a fifth, unfinished bodies took
+    // the process to 64,344 KiB, for the allocator keeps more than is counted.
+    constexpr std::int64_t kPartOfMemory = 6;
     constexpr std::size_t kBytesPerMb = 1U << 20;
     ConnectionLimits limits;
     limits.connections = maximumConnections;
