--- a/src/cell/AdmissionPlan.cpp
+++ b/src/cell/AdmissionPlan.cpp
@@ -44,6 +44,7 @@
 static void divideAmongTeams(const std::vector<const TeamDemand*>& demands, double available, AdmissionPlan& plan)
 {
     std::vector<WeightedClaim> claims;
+    claims.reserve(demands.size());
     for (const TeamDemand* it : demands)
         claims.push_back({ it->tasksPerSecond, it->weight });
     std::vector<double> amounts = divideByWeight(claims, available);
--- a/src/cell/Delegation.cpp
+++ b/src/cell/Delegation.cpp
@@ -62,6 +62,7 @@
     std::stable_sort(usable.begin(), usable.end(), [](const Membership::Instance* a, const Membership::Instance* b) { return a->milliCpu > b->milliCpu; });
     usable.resize(std::min(usable.size(), state.upstreams.size() / kUpstreamsPerDelegate + 1));
     std::vector<std::string> delegates;
+    delegates.reserve(usable.size());
     for (const Membership::Instance* it : usable)
         delegates.push_back(it->address);
     return delegates;
