--- a/src/cell/InterferenceModel.cpp
+++ b/src/cell/InterferenceModel.cpp
@@ -8,7 +8,7 @@
 
 /// Interference changes within seconds, but a pair is seen on few upstreams at a time.
 static constexpr double kHalfLifeSeconds = 20.0;
-static constexpr std::size_t kMaxPairs = 4096; ///< Bounds the memory to about a megabyte.
+static constexpr std::size_t kMaxPairs = 4096; ///< Bounds the memory.
 /// Decayed samples on either side before they count as evidence.
 static constexpr double kMinWeight = 6.0;
 /// The difference has to exceed this many standard errors, which allows for samples that depend on each other.
