--- a/review/standin-3/Cell.h
+++ b/review/standin-3/Cell.h
@@ -145,6 +145,7 @@
 
 constexpr const char* kQueueHost = "desk.example";
 constexpr const char* kKey = "key-of-the-team";
+constexpr const char* kOtherKey = "key-of-the-other-team";
 
 inline std::string makeConfiguration(int version, const std::vector<Queue>& queues)
 {
@@ -152,7 +153,8 @@
     for (const Queue& it : queues)
         routes.push_back({ { "name", it.name }, { "hostname", kQueueHost }, { "prefix", it.prefix }, { "service", it.service }, { "priority", it.priority }, { "attempts", it.attempts }, { "stretch", 2.0 }, { "target-duration-ms", 1000 }, { "public", false } });
     Json tenants = Json::array();
-    tenants.push_back({ { "name", "team" }, { "api-keys", { kKey } }, { "weight", 1 }, { "cap", { { "cpu", 0 }, { "mem-mb", 0 }, { "gpu", 0 } } } });
+    for (const auto& [name, key] : { std::make_pair("team", kKey), std::make_pair("other-team", kOtherKey) })
+        tenants.push_back({ { "name", name }, { "api-keys", { key } }, { "weight", 1 }, { "cap", { { "cpu", 0 }, { "mem-mb", 0 }, { "gpu", 0 } } } });
     Json services = Json::array();
     services.push_back({ { "name", "shopdesk" }, { "enforces-capacity", false } });
     return Json { { "version", version }, { "routes", routes }, { "services", services }, { "tenants", tenants }, { "limits", { { "max-body-bytes", 262144 } } } }.dump();
@@ -223,18 +225,18 @@
         return nullptr;
     }
 
-    Answer call(Client& client, const std::string& at, const std::string& method, const std::string& path, const std::string& body = "", int timeoutMs = 3000)
+    Answer call(Client& client, const std::string& at, const std::string& method, const std::string& path, const std::string& body = "", int timeoutMs = 3000, const char* key = kKey)
     {
-        std::string headers = std::string("Host: ") + kQueueHost + "\r\nAuthorization: Token " + kKey + "\r\nContent-Type: application/json\r\nX-Deadline-Ms: " + std::to_string(timeoutMs) + "\r\n";
+        std::string headers = std::string("Host: ") + kQueueHost + "\r\nAuthorization: Token " + key + "\r\nContent-Type: application/json\r\nX-Deadline-Ms: " + std::to_string(timeoutMs) + "\r\n";
         Answer answer = client.call(method, path, headers, body, timeoutMs);
         record.write("client " + method + " " + path + " at " + at + " -> " + std::to_string(answer.status) + " " + answer.body.substr(0, 120));
         return answer;
     }
 
-    Answer call(Instance& at, const std::string& method, const std::string& path, const std::string& body = "", int timeoutMs = 3000)
+    Answer call(Instance& at, const std::string& method, const std::string& path, const std::string& body = "", int timeoutMs = 3000, const char* key = kKey)
     {
         Client client(at.callers());
-        return call(client, at.name(), method, path, body, timeoutMs);
+        return call(client, at.name(), method, path, body, timeoutMs, key);
     }
 
     /// Sends the job, as often as a client does, until it is accepted. The attempts go to the instances in turn.
