--- a/review/14/Case.cpp
+++ b/review/14/Case.cpp
@@ -1,65 +1,131 @@
+#include <atomic>
+
 #include "../standin-3/Cell.h"
 
-// Jobs of two queues are accepted. While they run, a new configuration removes the route of one queue.
+// Callers ask for two jobs through one instance: one that is completed and one that runs. In each round the owner of the cell
+// freezes for about half a second, and the instance that the callers ask is killed in that time and starts again.
 
 using namespace standin3;
 
-static constexpr int kJobs = 5;
-static constexpr int kTasks = 4;
-static constexpr int kCatchUpMs = 20000; ///< A multiple of the 3 s for which a job may have nothing running.
+static constexpr int kRounds = 5;
+static constexpr int kClients = 80;
+static constexpr int kPauseMs = 1500;
+static constexpr int kRestartDelayMs = 200;
+
+static const std::string kPrefix = "/plan/";
 
-static const std::string kKeptPrefix = "/plan/";
-static const std::string kRemovedPrefix = "/check/";
-static constexpr unsigned kKeptJobs = 1;
-static constexpr unsigned kRemovedJobs = 2;
+/// Clients that ask for one job at the same time, each on its own connection. Returns how often it was shown in a final state.
+static int ask(Cell& cell, Instance& at, const std::string& path)
+{
+    std::atomic<int> final { 0 };
+    std::vector<std::thread> clients;
+    for (int n = 0; n < kClients; ++n) {
+        clients.emplace_back([&] {
+            std::string state = cell.stateOf(at, path);
+            if (state == "completed" || state == "failed" || state == "cancelled")
+                ++final;
+        });
+    }
+    for (std::thread& it : clients)
+        it.join();
+    return final;
+}
 
-/// Two steps of two seconds, one after the other.
-static std::string makeChain()
+static void awaitState(Cell& cell, const std::string& path, const std::string& state)
 {
-    Json first { { "count", kTasks }, { "cpu", 1000 }, { "mem-mb", 256 }, { "estimate-ms", 2000 } };
-    Json second = first;
-    second["after"] = { 0 };
-    Json steps = Json::array();
-    steps.push_back(first);
-    steps.push_back(second);
-    return Json { { "spec", "work-ms=2000" }, { "steps", steps } }.dump();
+    for (int n = 0; n < 100; ++n, sleepMs(100)) {
+        if (cell.stateOf(*cell.instances[0], path) == state)
+            return;
+    }
+    throw CouldNotRun(path + " does not become " + state);
 }
 
-static void submitAll(Cell& cell, const std::string& prefix, unsigned kind)
+static Instance& findEntry(Cell& cell)
 {
-    for (unsigned n = 0; n < kJobs; ++n) {
-        if (!cell.submit(prefix + jobId(kind, n), makeChain()))
-            throw CouldNotRun("a job is not accepted");
+    Instance* owner = cell.findOwner();
+    for (const auto& it : cell.instances) {
+        if (it.get() != owner)
+            return *it;
     }
+    throw CouldNotRun("there is no other instance");
 }
 
-/// Tasks of the jobs of that kind that have ended as done.
-static int countDone(const Cell& cell, unsigned kind)
+static void awaitReady(Instance& instance)
 {
-    std::string begin = jobId(kind, 0).substr(0, 8);
-    std::vector<RunNote> notes = cell.runs.notes();
-    return static_cast<int>(std::count_if(notes.begin(), notes.end(), [&begin](const RunNote& it) { return it.task.compare(0, begin.size(), begin) == 0 && it.how == "done"; }));
+    for (int n = 0; n < 500 && !instance.isReady(); ++n)
+        sleepMs(10);
+}
+
+/// Returns how often the job that runs was shown in a final state.
+static int playRound(Cell& cell, const std::string& finished, const std::string& running)
+{
+    Instance* owner = cell.findOwner();
+    if (!owner)
+        throw CouldNotRun("there is no owner");
+    Instance& entry = findEntry(cell);
+    bool trouble = hasTrouble();
+    if (trouble) {
+        cell.record.write(owner->name() + ", which owns the cell, freezes");
+        owner->kill(SIGSTOP);
+    }
+    std::thread early([&] { ask(cell, entry, finished); });
+    sleepMs(100);
+    if (trouble) {
+        cell.record.write(entry.name() + " is killed, and starts again");
+        entry.kill(SIGKILL);
+        sleepMs(kRestartDelayMs);
+        entry.start();
+    }
+    early.join();
+    awaitReady(entry);
+    std::thread wake([&] {
+        sleepMs(60);
+        if (!trouble)
+            return;
+        owner->kill(SIGCONT);
+        cell.record.write(owner->name() + " goes on");
+    });
+    int wrong = ask(cell, entry, running);
+    wake.join();
+    return wrong;
+}
+
+/// Starts the instance anew, as in a rolling restart.
+static void restart(Cell& cell, Instance& entry)
+{
+    cell.record.write(entry.name() + " is restarted");
+    entry.kill(SIGKILL);
+    sleepMs(kRestartDelayMs);
+    entry.start();
+    awaitReady(entry);
+    sleepMs(kPauseMs);
 }
 
 static int play(Cell& cell)
 {
-    constexpr int kOwed = kJobs * kTasks * 2;
-    for (int n = 0; n < 6; ++n)
+    for (int n = 0; n < 2; ++n)
         cell.addWorker({ "w-" + std::to_string(n + 1), "shopdesk", "kumasi-a", { "a", "r1-1" } });
-    Queue kept { "plan", kKeptPrefix };
-    Queue removed { "check", kRemovedPrefix };
-    cell.configure(7, { kept, removed });
+    cell.configure(7, { { "plan", kPrefix } });
     cell.start();
-    submitAll(cell, kKeptPrefix, kKeptJobs);
-    submitAll(cell, kRemovedPrefix, kRemovedJobs);
-    sleepMs(500);
-    if (hasTrouble())
-        cell.configure(9, { kept });
-    sleepMs(kCatchUpMs);
-    int done = countDone(cell, kRemovedJobs);
-    cell.record.write("tasks done " + std::to_string(kCatchUpMs) + " ms after the change: queue kept " + std::to_string(countDone(cell, kKeptJobs)) + ", queue removed " + std::to_string(done) + ", of " + std::to_string(kOwed) + " each; all workers are idle");
-    cell.call(*cell.instances[0], "GET", kRemovedPrefix + jobId(kRemovedJobs, 0));
-    return done < kOwed ? kBroken : kHeld;
+    std::string finished = kPrefix + jobId(1, 1);
+    std::string running = kPrefix + jobId(2, 1);
+    if (!cell.submit(finished, makeJob("work-ms=200", 1, 1000)) || !cell.submit(running, makeJob("work-ms=300000", 1, 1000)))
+        throw CouldNotRun("the jobs are not accepted");
+    awaitState(cell, finished, "completed");
+    awaitState(cell, running, "running");
+    int wrong = 0;
+    for (int n = 0; n < kRounds; ++n) {
+        if (n > 0 && hasTrouble())
+            restart(cell, findEntry(cell));
+        wrong += playRound(cell, finished, running);
+        sleepMs(kPauseMs);
+        cell.awaitReady();
+    }
+    bool runsOn = false;
+    for (const RunNote& it : cell.runs.notes())
+        runsOn = runsOn || (it.task.find(jobId(2, 1)) == 0 && it.how.empty());
+    cell.record.write("the job that runs was shown in a final state " + std::to_string(wrong) + " times; its task " + (runsOn ? "is still at work" : "is not at work"));
+    return wrong > 0 && runsOn ? kBroken : kHeld;
 }
 
 int main(int argc, char** argv) { return playCase(argc, argv, play); }
--- a/review/standin-3/Cell.h
+++ b/review/standin-3/Cell.h
@@ -5,12 +5,15 @@
 #include <fstream>
 #include <sstream>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 #include "Worker.h"
 
 namespace standin3 {
 
+constexpr rlim_t kDescriptors = 4100; ///< Of a machine.
+
 /// Exit statuses of a case.
 constexpr int kHeld = 0;
 constexpr int kBroken = 1;
@@ -69,6 +72,9 @@
         m_pid = ::fork();
         if (m_pid != 0)
             return;
+        // Of the descriptors of a machine, 200 are reserved for files.
+        rlimit descriptors { kDescriptors - 200, kDescriptors - 200 };
+        ::setrlimit(RLIMIT_NOFILE, &descriptors);
         ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No process outlives the case.
         int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(fd, 1);
--- a/review/standin-3/Worker.h
+++ b/review/standin-3/Worker.h
@@ -7,6 +7,8 @@
 
 namespace standin3 {
 
+constexpr const char* kDirectory = "servers/";
+
 /// What the workers have run, as they saw it.
 struct RunNote {
     std::string task;
@@ -111,6 +113,31 @@
         m_record.write("worker " + id() + " has crashed");
     }
 
+    /// Cuts the worker off from all machines, silently: calls neither reach it nor are answered. It works on.
+    void setCutOff(bool isCutOff)
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_isCutOff = isCutOff;
+        m_record.write("worker " + id() + (isCutOff ? " is cut off, and runs on" : " is reached again"));
+        m_changed.notify_all();
+    }
+
+    std::string address() const { return addressOf(m_port); }
+
+    /// Announces that it will leave. It goes on to work.
+    void drain()
+    {
+        m_isDraining = true;
+        registerSelf();
+    }
+
+    /// Ends, and its entry with it.
+    void leave()
+    {
+        crash();
+        m_store.remove(kDirectory + id());
+    }
+
     void setLabels(const std::vector<std::string>& labels) { m_settings.labels = labels; }
     std::size_t running()
     {
@@ -141,9 +168,9 @@
 
     void registerSelf()
     {
-        Json entry { { "service", m_settings.service }, { "address", addressOf(m_port) }, { "zone", m_settings.zone }, { "version", "1" }, { "slots", 8 }, { "state", "ready" }, { "cold-left-ms", 0 }, { "seq", ++m_seq }, { "born", m_born }, { "labels", m_settings.labels },
+        Json entry { { "service", m_settings.service }, { "address", addressOf(m_port) }, { "zone", m_settings.zone }, { "version", "1" }, { "slots", 8 }, { "state", m_isDraining ? "draining" : "ready" }, { "cold-left-ms", 0 }, { "seq", ++m_seq }, { "born", m_born }, { "labels", m_settings.labels },
             { "capacity", { { "cpu", m_settings.milliCpu }, { "mem-mb", m_settings.memoryMb }, { "gpu", 0 } } } };
-        m_store.put("servers/" + id(), entry.dump());
+        m_store.put(kDirectory + id(), entry.dump());
     }
 
     void tick()
@@ -164,10 +191,12 @@
                     note(it->first, it->second, how);
                 it = ends ? m_runs.erase(it) : std::next(it);
             }
+            bool isCutOff = m_isCutOff;
             lock.unlock();
             if (Clock::now() >= nextHeartbeat) {
                 nextHeartbeat += std::chrono::milliseconds(kHeartbeatMs);
-                registerSelf();
+                if (!isCutOff)
+                    registerSelf();
             }
         }
     }
@@ -187,7 +216,7 @@
     Answer handle(const Request& request)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
-        if (m_stopped)
+        if (isSilent(lock))
             return {};
         auto expected = request.headers.find("x-expect-instance");
         if (expected != request.headers.end() && expected->second != id())
@@ -211,6 +240,14 @@
         return { 404, "{}" };
     }
 
+    /// True if a call is lost: the worker has ended, or was cut off. Returns once the connection may show it.
+    bool isSilent(std::unique_lock<std::mutex>& lock)
+    {
+        bool wasCutOff = m_isCutOff;
+        m_changed.wait(lock, [this] { return !m_isCutOff || m_stopped; });
+        return wasCutOff || m_stopped;
+    }
+
     void extend(std::int64_t until) { m_leaseMs = std::max(m_leaseMs, std::min(until, clockMs() + kLongestLeaseMs)); }
 
     Answer hold(const Json& body, std::int64_t until, std::unique_lock<std::mutex>& lock)
@@ -221,8 +258,8 @@
             m_ends.erase(m_ends.begin());
         int wait = std::min(2000, body.value("wait-ms", 0));
         if (wait > 0)
-            m_changed.wait_for(lock, std::chrono::milliseconds(wait), [this] { return !m_ends.empty() || m_stopped; });
-        if (m_stopped)
+            m_changed.wait_for(lock, std::chrono::milliseconds(wait), [this] { return !m_ends.empty() || m_stopped || m_isCutOff; });
+        if (isSilent(lock))
             return {};
         Json running = Json::array();
         for (const auto& [task, run] : m_runs)
@@ -286,6 +323,8 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     bool m_stopped { true };
+    bool m_isCutOff { false };
+    std::atomic<bool> m_isDraining { false };
     std::int64_t m_born { 0 };
     Clock::time_point m_begin;
     std::int64_t m_fence { 0 };
