Name in messages between instances the processes that send and receive them

Cause: a query and its answer were matched by a number alone, each process numbered from 1, and frames go to an address. An instance that started again took the answers that its predecessor had asked for. So did answers of the store, of advice and of delegates; and what had waited for a process was carried out by the next one at its address, seconds late.

Change: a frame names the process that sends it and the one that it is meant for, by random numbers that are new at each start. Another process drops answers and notices, and refuses queries at once. An answer counts only from the peer that was asked, and of the kind that was asked for. Counters and a log line tell such messages from late ones. Why this works: the next process at an address has another number, whatever it asks.

Versions: older instances skip the fields; their answers are matched by number as before, and numbers begin at random.

--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -167,17 +167,18 @@
             return;
         }
         cellwire::PeerMessage answer;
-        answer.set_call(it->second);
+        answer.set_sender(it->second.delegate);
+        answer.set_call(it->second.call);
         encode(result, *answer.mutable_upstream_answer());
         queries.erase(it);
         events.push({ now + kRoundTrip, PeerFrame { "", answer.SerializeAsString() } });
     }
 
-    void performForOwner(const cellwire::PeerMessage& query)
+    void performForOwner(const std::string& delegate, const cellwire::PeerMessage& query)
     {
         constexpr Ticket kFirstTicket = Ticket { 1 } << 40; // Above those of the owner.
         Ticket ticket = kFirstTicket + query.call();
-        queries[ticket] = query.call();
+        queries[ticket] = { delegate, query.call() };
         std::optional<CellAction> call = decodeCall(query.upstream_call(), ticket);
         if (call)
             std::visit([this](const auto& it) { perform(it); }, *call);
@@ -257,21 +258,22 @@
     {
         cellwire::PeerMessage message;
         message.ParseFromString(frame.bytes);
-        answerPeerMessage(message);
+        answerPeerMessage(frame.address, message);
         for (const std::string& bytes : message.frames()) {
             cellwire::PeerMessage part;
             part.ParseFromString(bytes);
-            answerPeerMessage(part);
+            answerPeerMessage(frame.address, part);
         }
     }
 
-    void answerPeerMessage(const cellwire::PeerMessage& query)
+    void answerPeerMessage(const std::string& peer, const cellwire::PeerMessage& query)
     {
         if (query.has_upstream_call())
-            performForOwner(query);
+            performForOwner(peer, query);
         if (!query.has_advice_query())
             return;
         cellwire::PeerMessage message;
+        message.set_sender(peer);
         message.set_call(query.call());
         cellwire::AdviceAnswer& answer = *message.mutable_advice_answer();
         answer.set_ok(true);
@@ -313,7 +315,11 @@
     std::priority_queue<RunCompletion> completions;
     std::map<std::string, BenchUpstream> upstreams;
     std::optional<StoreAwait> watch;
-    std::map<Ticket, std::uint64_t> queries; ///< Calls for the owner in flight, by the delegate's ticket.
+    struct OwnerQuery {
+        std::string delegate; ///< Address.
+        std::uint64_t call { 0 };
+    };
+    std::map<Ticket, OwnerQuery> queries; ///< Calls for the owner in flight, by the delegate's ticket.
     CellActions actions;
     StoreRevision revision { 1 };
     std::int64_t jobs { 0 };
--- a/src/cell/Advice.cpp
+++ b/src/cell/Advice.cpp
@@ -272,11 +272,11 @@
     return true;
 }
 
-void answerAdviceQuery(CellState& state, const std::string& peer, std::uint64_t call, const AdviceRequest& query, CellActions& actions)
+void answerAdviceQuery(CellState& state, const Asker& asker, const AdviceRequest& query, CellActions& actions)
 {
     AdviceRequest request = query;
     request.ticket = state.nextTicket++;
-    state.adviceCalls[request.ticket] = [peer, call](CellState& s, const AdviceResult& result, const Instant&, CellActions& out) {
+    state.adviceCalls[request.ticket] = [asker](CellState& s, const AdviceResult& result, const Instant&, CellActions& out) {
         wire::PeerMessage answer;
         wire::AdviceAnswer& body = *answer.mutable_advice_answer();
         body.set_ok(result.ok);
@@ -286,7 +286,7 @@
             good.set_upstream(row.upstream);
             good.set_ticket(row.ticket);
         }
-        answerPeer(s, peer, call, std::move(answer), out);
+        answerPeer(s, asker, std::move(answer), out);
     };
     actions.push_back(std::move(request));
 }
--- a/src/cell/Advice.h
+++ b/src/cell/Advice.h
@@ -45,7 +45,7 @@
 bool askForAdvice(CellState&, const AdviceNeed&, const std::vector<RankedUpstream>& byRoom, const std::vector<Adviser>&, const Instant& now, CellActions&);
 
 /// Asks the service on behalf of a peer and sends the result to it.
-void answerAdviceQuery(CellState&, const std::string& peer, std::uint64_t call, const AdviceRequest&, CellActions&);
+void answerAdviceQuery(CellState&, const Asker&, const AdviceRequest&, CellActions&);
 
 void handleAdviceResult(CellState&, const AdviceResult&, const Instant& now, CellActions&);
 
--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -10,6 +10,7 @@
 #include "src/cell/Membership.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/PeerCalls.h"
+#include "src/cell/PeerFrames.h"
 #include "src/cell/Placement.h"
 #include "src/cell/Relay.h"
 #include "src/cell/Runs.h"
@@ -23,9 +24,17 @@
 /// A stopping owner waits this long for answers to orders in flight and for commits.
 static constexpr Duration kHandOverWait = std::chrono::milliseconds(300);
 
+/// The number of the process with this incarnation; not 0.
+static ProcessId numberProcess(const std::string& incarnation) { return std::hash<std::string> {}(incarnation) | 1; }
+
+/// The lower half of the process's number, so that the numbers of queries stay short on the wire.
+static std::uint64_t firstPeerCall(ProcessId process) { return process & UINT32_MAX; }
+
 CellState::CellState(CellSettings cellSettings, StoreFormat storeFormat)
     : settings(std::move(cellSettings))
     , format(std::move(storeFormat))
+    , process(numberProcess(settings.incarnation))
+    , nextPeerCall(firstPeerCall(process))
     , randomState(settings.seed | 1)
 {
 }
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -343,16 +343,19 @@
     std::set<Ticket> relayedTickets; ///< Calls relayed on behalf of peers; they bypass the relay, too.
 };
 
+/// Whom an answer to a peer's query goes to. No other process takes it, though one may get the address.
+struct Asker {
+    std::string address;
+    ProcessId process { 0 }; ///< 0: an instance of an earlier version, which doesn't say.
+    std::uint64_t call { 0 }; ///< Number of the query.
+};
+
 /// Calls to upstreams through other instances; see Delegation.h.
 struct Delegation {
     bool isOn { false }; ///< This owner hands its calls to delegates.
     std::size_t next { 0 }; ///< Position of the next delegate to choose.
     std::map<std::string, TimePoint> avoidUntil; ///< Backoff by address of the delegate.
-    struct CallForOwner {
-        std::string owner; ///< Address.
-        std::uint64_t call { 0 }; ///< Number of the owner's query.
-    };
-    std::unordered_map<Ticket, CallForOwner> callsForOwners; ///< In flight, by this instance's own ticket.
+    std::unordered_map<Ticket, Asker> callsForOwners; ///< In flight, by this instance's own ticket.
 };
 
 /// Ids of jobs with unstored changes, oldest first. Ids that are not dirty are stale.
@@ -416,9 +419,17 @@
 
 /// A query to a peer that awaits its answer.
 struct PeerCall {
-    /// Receives null after a timeout.
+    /// Receives null after a timeout, or if another process than the one asked has got the query.
     std::function<void(CellState&, const cellwire::PeerMessage* answer, const Instant&, CellActions&)> then;
     Duration timeout { 0 };
+    std::string address; ///< Of the peer.
+    int answerKind { 0 }; ///< PeerMessage::BodyCase of the answer to such a query.
+};
+
+/// The process that was last heard at an address.
+struct HeardProcess {
+    ProcessId id { 0 };
+    TimePoint heardAt;
 };
 
 /// Load on the advice service of one instance.
@@ -519,6 +530,10 @@
     Refusals refusals;
     std::map<CallId, EntryRow> entries;
     WithdrawalLease withdrawalLease;
+    ProcessId process; ///< Of this instance.
+    std::unordered_map<std::string, HeardProcess> heardProcesses; ///< Of peers, by address.
+    TimePoint nextHeardSweep; ///< Next expiry pass over `heardProcesses`.
+    std::uint64_t nextPeerCall; ///< Begins at random: an instance of an earlier version answers with nothing but the number.
     std::unordered_map<std::uint64_t, PeerCall> peerCalls; ///< By number of the query.
     std::vector<std::uint64_t> unsentPeerCalls; ///< Queries that leave at the end of this turn.
     std::vector<std::uint64_t> sentPeerCalls; ///< Queries of the turn before, whose timeout begins now.
--- a/src/cell/Declarations.cpp
+++ b/src/cell/Declarations.cpp
@@ -269,7 +269,7 @@
     queryPeer(state, peer, std::move(query), kPeerQueryTimeout, then, now, actions);
 }
 
-void answerConfigurationQuery(CellState& state, const std::string& peer, std::uint64_t call, const wire::ConfigurationQuery& query, const Instant& now, CellActions& actions)
+void answerConfigurationQuery(CellState& state, const Asker& asker, const wire::ConfigurationQuery& query, const Instant& now, CellActions& actions)
 {
     wire::PeerMessage answer;
     wire::ConfigurationAnswer& body = *answer.mutable_configuration_answer();
@@ -284,7 +284,7 @@
         item.set_value(state.declarations.record->value);
         item.set_revision(state.declarations.record->modRevision);
     }
-    answerPeer(state, peer, call, std::move(answer), actions);
+    answerPeer(state, asker, std::move(answer), actions);
 }
 
 // Evacuations and waves, which only an owner acts on.
--- a/src/cell/Declarations.h
+++ b/src/cell/Declarations.h
@@ -20,6 +20,6 @@
 std::string describeAge(const Confirmation&, TimePoint now);
 
 /// Answers a peer that asks which configuration this instance has, and how old it is.
-void answerConfigurationQuery(CellState&, const std::string& peer, std::uint64_t call, const cellwire::ConfigurationQuery&, const Instant& now, CellActions&);
+void answerConfigurationQuery(CellState&, const Asker&, const cellwire::ConfigurationQuery&, const Instant& now, CellActions&);
 
 } // namespace crocuslever::cell
--- a/src/cell/Delegation.cpp
+++ b/src/cell/Delegation.cpp
@@ -201,7 +201,7 @@
     wire::PeerMessage answer;
     answer.mutable_upstream_answer()->set_declined(true);
     answer.mutable_upstream_answer()->set_outcome(static_cast<int>(OrderOutcome::NotSent));
-    answerPeer(state, message.sender(), message.call(), std::move(answer), actions);
+    answerPeer(state, askerOf(message), std::move(answer), actions);
 }
 
 void handleUpstreamCall(CellState& state, const wire::PeerMessage& message, CellActions& actions)
@@ -216,7 +216,7 @@
         logMessage(actions, LogLevel::Warning, "delegation", message.sender(), "", "call to an upstream of unknown kind " + std::to_string(message.upstream_call().kind()) + " dropped");
         return;
     }
-    state.delegation.callsForOwners[ticket] = { message.sender(), message.call() };
+    state.delegation.callsForOwners[ticket] = askerOf(message);
     actions.push_back(std::move(*call));
 }
 
@@ -228,7 +228,7 @@
         return false;
     wire::PeerMessage answer;
     encode(result, *answer.mutable_upstream_answer());
-    answerPeer(state, it->second.owner, it->second.call, std::move(answer), actions);
+    answerPeer(state, it->second, std::move(answer), actions);
     state.delegation.callsForOwners.erase(it);
     return true;
 }
--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -5,6 +5,7 @@
 #include "src/cell/Declarations.h"
 #include "src/cell/Keys.h"
 #include "src/cell/Ownership.h"
+#include "src/cell/PeerFrames.h"
 #include "src/cell/RecordCodec.h"
 #include "src/cell/Relay.h"
 #include "src/cell/StoreCalls.h"
@@ -135,6 +136,8 @@
         return;
     std::string name = entry.key.substr(std::string(kInstancePrefix).size());
     Membership::Instance& instance = state.membership.instances[name];
+    if (instance.incarnation != record->incarnation)
+        forgetProcess(state, record->address);
     bool isUnbroken = instance.incarnation == record->incarnation && instance.lastSeen == previousListing;
     instance = { record->address, record->incarnation, record->milliCpu, record->domain, now, isUnbroken ? instance.since : now };
 }
@@ -192,8 +195,10 @@
     if (state.stopped)
         return;
     keepLease(state, now.steady, actions);
-    if (!actions.empty())
-        tickRelay(state, now, actions);
+    if (actions.empty())
+        return;
+    tickRelay(state, now, actions);
+    tickFrames(state, now, actions);
 }
 
 void tickMembership(CellState& state, const Instant& now, CellActions& actions)
--- a/src/cell/Messages.h
+++ b/src/cell/Messages.h
@@ -316,6 +316,9 @@
 
 // Peers.
 
+/// Identifies a process of an instance: a random number, new at each start. The next process at its address has another one.
+using ProcessId = std::uint64_t;
+
 struct PeerFrame {
     std::string from; ///< Name of the sender.
     std::string bytes;
@@ -323,6 +326,7 @@
 
 struct SendPeerFrame {
     std::string address;
+    ProcessId receiver { 0 }; ///< The process at the address that the frame is meant for; 0: any.
     std::string bytes;
 };
 
--- a/src/cell/PeerCalls.cpp
+++ b/src/cell/PeerCalls.cpp
@@ -1,7 +1,5 @@
 #include "src/cell/PeerCalls.h"
 
-#include <algorithm>
-
 #include "cell.pb.h"
 #include "src/cell/Admission.h"
 #include "src/cell/Advice.h"
@@ -11,6 +9,7 @@
 #include "src/cell/JobQueue.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Ownership.h"
+#include "src/cell/PeerFrames.h"
 #include "src/cell/Relay.h"
 #include "src/cell/StoreCalls.h"
 
@@ -18,30 +17,61 @@
 
 namespace wire = crocuslever::cellwire;
 
-static void send(const CellState& state, const std::string& address, wire::PeerMessage message, CellActions& actions)
+/// Of messages for another process the first is logged, and then one in this many.
+static constexpr std::int64_t kForeignMessagesPerLogLine = 100;
+
+static void send(const CellState& state, const std::string& address, ProcessId receiver, wire::PeerMessage message, CellActions& actions)
 {
     message.set_sender(state.settings.address);
-    actions.push_back(SendPeerFrame { address, message.SerializeAsString() });
+    actions.push_back(SendPeerFrame { address, receiver, message.SerializeAsString() });
+}
+
+/// The kind of message that answers a query; BODY_NOT_SET: the message is no query.
+static wire::PeerMessage::BodyCase answerKindOf(const wire::PeerMessage& message)
+{
+    switch (message.body_case()) {
+    case wire::PeerMessage::kJobQuery:
+        return wire::PeerMessage::kJobAnswer;
+    case wire::PeerMessage::kCountQuery:
+        return wire::PeerMessage::kCountAnswer;
+    case wire::PeerMessage::kAdviceQuery:
+        return wire::PeerMessage::kAdviceAnswer;
+    case wire::PeerMessage::kStoreQuery:
+        return wire::PeerMessage::kStoreAnswer;
+    case wire::PeerMessage::kUpstreamCall:
+        return wire::PeerMessage::kUpstreamAnswer;
+    case wire::PeerMessage::kConfigurationQuery:
+        return wire::PeerMessage::kConfigurationAnswer;
+    default:
+        return wire::PeerMessage::BODY_NOT_SET;
+    }
+}
+
+static bool isNotice(const wire::PeerMessage& message)
+{
+    return message.has_queue_notice() || message.has_refusal_report() || message.has_admission_notice();
 }
 
 void queryPeer(CellState& state, const std::string& address, wire::PeerMessage query, Duration timeout, PeerContinuation then, const Instant&, CellActions& actions)
 {
-    std::uint64_t call = state.nextTicket++;
+    std::uint64_t call = state.nextPeerCall++;
     query.set_call(call);
-    state.peerCalls.emplace(call, PeerCall { std::move(then), timeout });
+    state.peerCalls.emplace(call, PeerCall { std::move(then), timeout, address, answerKindOf(query) });
     state.unsentPeerCalls.push_back(call);
-    send(state, address, std::move(query), actions);
+    send(state, address, processAt(state, address), std::move(query), actions);
 }
 
-void answerPeer(CellState& state, const std::string& address, std::uint64_t call, wire::PeerMessage answer, CellActions& actions)
+Asker askerOf(const wire::PeerMessage& query) { return { query.sender(), query.sender_process(), query.call() }; }
+
+void answerPeer(CellState& state, const Asker& asker, wire::PeerMessage answer, CellActions& actions)
 {
-    answer.set_call(call);
-    send(state, address, std::move(answer), actions);
+    answer.set_call(asker.call);
+    send(state, asker.address, asker.process, std::move(answer), actions);
 }
 
 void notifyPeer(CellState& state, const std::string& address, wire::PeerMessage message, CellActions& actions)
 {
-    send(state, address, std::move(message), actions);
+    send(state, address, processAt(state, address), std::move(message), actions);
 }
 
 static void decodeQueueNotice(CellState& state, const wire::QueueNotice& notice, const Instant& now, CellActions& actions)
@@ -56,7 +86,7 @@
     std::optional<JobState> found = lookUpJob(state, query.job_query().id());
     answer.mutable_job_answer()->set_known(found.has_value());
     answer.mutable_job_answer()->set_state(static_cast<int>(found.value_or(JobState::Pending)));
-    answerPeer(state, query.sender(), query.call(), std::move(answer), actions);
+    answerPeer(state, askerOf(query), std::move(answer), actions);
 }
 
 static void answerCountQuery(CellState& state, const wire::PeerMessage& query, CellActions& actions)
@@ -64,7 +94,7 @@
     wire::PeerMessage answer;
     answer.mutable_count_answer()->set_known(isOwner(state));
     answer.mutable_count_answer()->set_waiting(countWaiting(state, query.count_query().route()));
-    answerPeer(state, query.sender(), query.call(), std::move(answer), actions);
+    answerPeer(state, askerOf(query), std::move(answer), actions);
 }
 
 static void handleAdviceQuery(CellState& state, const wire::PeerMessage& query, CellActions& actions)
@@ -73,7 +103,7 @@
     request.step = query.advice_query().step();
     request.upstreams.assign(query.advice_query().upstreams().begin(), query.advice_query().upstreams().end());
     request.timeout = fromMilliseconds(query.advice_query().timeout_ms());
-    answerAdviceQuery(state, query.sender(), query.call(), request, actions);
+    answerAdviceQuery(state, askerOf(query), request, actions);
 }
 
 static void handleAnswer(CellState& state, const wire::PeerMessage& answer, const Instant& now, CellActions& actions)
@@ -83,9 +113,41 @@
         state.counters.add("peer_late_answers_total");
         return;
     }
+    const PeerCall& call = it->second;
+    bool isOfOtherProcess = answer.has_other_process();
+    if (answer.sender() != call.address || (!isOfOtherProcess && answer.body_case() != call.answerKind)) {
+        state.counters.add("peer_wrong_answers_total");
+        logMessage(actions, LogLevel::Warning, "peer.receive", answer.sender(), "", "answer of kind " + std::to_string(answer.body_case()) + " dropped: " + call.address + " was asked for kind " + std::to_string(call.answerKind));
+        return;
+    }
     PeerContinuation then = std::move(it->second.then);
     state.peerCalls.erase(it);
-    then(state, &answer, now, actions);
+    if (isOfOtherProcess)
+        state.counters.add("peer_queries_to_ended_processes_total");
+    then(state, isOfOtherProcess ? nullptr : &answer, now, actions);
+}
+
+static const char* kindOf(const wire::PeerMessage& message)
+{
+    if (isNotice(message))
+        return "notice";
+    return answerKindOf(message) != wire::PeerMessage::BODY_NOT_SET ? "query" : "answer";
+}
+
+/// A message that has waited for an earlier process at this address, or at one that another instance had. The sender of a
+/// query learns at once that it was not handled.
+static void refuseMessage(CellState& state, const wire::PeerMessage& message, CellActions& actions)
+{
+    std::string kind = kindOf(message);
+    std::string counter = "peer_messages_for_other_processes_total{kind=\"" + kind + "\"}";
+    if (state.counters.get(counter) % kForeignMessagesPerLogLine == 0)
+        logMessage(actions, LogLevel::Info, "peer.receive", message.sender(), "", kind + " for another process at this address dropped");
+    state.counters.add(counter);
+    if (answerKindOf(message) == wire::PeerMessage::BODY_NOT_SET)
+        return;
+    wire::PeerMessage answer;
+    answer.mutable_other_process();
+    answerPeer(state, askerOf(message), std::move(answer), actions);
 }
 
 static void handleMessage(CellState& state, const wire::PeerMessage& message, const Instant& now, CellActions& actions)
@@ -107,7 +169,7 @@
         handleUpstreamCall(state, message, actions);
         return;
     case wire::PeerMessage::kConfigurationQuery:
-        answerConfigurationQuery(state, message.sender(), message.call(), message.configuration_query(), now, actions);
+        answerConfigurationQuery(state, askerOf(message), message.configuration_query(), now, actions);
         return;
     case wire::PeerMessage::kQueueNotice:
         decodeQueueNotice(state, message.queue_notice(), now, actions);
@@ -118,13 +180,25 @@
     case wire::PeerMessage::kAdmissionNotice:
         handleAdmissionNotice(state, message.admission_notice(), now);
         return;
-    case wire::PeerMessage::BODY_NOT_SET: // Joined frames.
-        return;
     default:
         handleAnswer(state, message, now, actions);
     }
 }
 
+/// Handles one message of a frame, which names the processes for all of them.
+static void receiveMessage(CellState& state, const wire::PeerMessage& frame, wire::PeerMessage& message, const Instant& now, CellActions& actions)
+{
+    if (message.body_case() == wire::PeerMessage::BODY_NOT_SET) // Only joined frames.
+        return;
+    message.set_sender_process(frame.sender_process());
+    noteProcess(state, message.sender(), frame.sender_process(), now.steady);
+    bool isForThisProcess = frame.receiver_process() == 0 || frame.receiver_process() == state.process;
+    if (isForThisProcess)
+        handleMessage(state, message, now, actions);
+    else
+        refuseMessage(state, message, actions);
+}
+
 void handlePeerFrame(CellState& state, const PeerFrame& frame, const Instant& now, CellActions& actions)
 {
     wire::PeerMessage message;
@@ -136,11 +210,11 @@
     for (const std::string& bytes : message.frames()) {
         wire::PeerMessage part;
         if (part.ParseFromString(bytes))
-            handleMessage(state, part, now, actions);
+            receiveMessage(state, message, part, now, actions);
         else
             logMessage(actions, LogLevel::Warning, "peer.receive", frame.from, "", "malformed message of " + std::to_string(bytes.size()) + " bytes in a joined frame dropped");
     }
-    handleMessage(state, message, now, actions);
+    receiveMessage(state, message, message, now, actions);
 }
 
 /// A query leaves at the end of the turn that makes it, and that turn may be longer than the timeout.
@@ -172,29 +246,4 @@
     }
 }
 
-/// Joins the frames to each address into one. An owner sends several to each of its delegates in a turn, and each
-/// frame costs both sides more than its contents.
-void tickFrames(CellState& state, const Instant&, CellActions& actions)
-{
-    state.sentPeerCalls.insert(state.sentPeerCalls.end(), state.unsentPeerCalls.begin(), state.unsentPeerCalls.end());
-    state.unsentPeerCalls.clear();
-    std::unordered_map<std::string, std::size_t> framesTo;
-    for (const CellAction& action : actions) {
-        const SendPeerFrame* frame = std::get_if<SendPeerFrame>(&action);
-        if (frame)
-            ++framesTo[frame->address];
-    }
-    std::unordered_map<std::string, wire::PeerMessage> joined;
-    auto isJoined = [&](CellAction& action) {
-        SendPeerFrame* frame = std::get_if<SendPeerFrame>(&action);
-        if (!frame || framesTo[frame->address] < 2)
-            return false;
-        joined[frame->address].add_frames(std::move(frame->bytes));
-        return true;
-    };
-    actions.erase(std::remove_if(actions.begin(), actions.end(), isJoined), actions.end());
-    for (const auto& [address, message] : joined)
-        actions.push_back(SendPeerFrame { address, message.SerializeAsString() });
-}
-
 } // namespace crocuslever::cell
--- a/src/cell/PeerCalls.h
+++ b/src/cell/PeerCalls.h
@@ -8,13 +8,14 @@
 
 namespace crocuslever::cell {
 
-/// Receives the peer's answer; null: timeout.
+/// Receives the peer's answer. Null: there was none in time, or the query reached another process than the one asked.
 using PeerContinuation = std::function<void(CellState&, const cellwire::PeerMessage* answer, const Instant&, CellActions&)>;
 
-/// Sends a query to the instance at `address`. The timeout begins once it has left. The continuation runs exactly once.
+/// Sends a query to the process at `address`. The timeout begins once it has left. The continuation runs exactly once.
 void queryPeer(CellState&, const std::string& address, cellwire::PeerMessage query, Duration timeout, PeerContinuation, const Instant& now, CellActions&);
-/// Answers the query with the id `call` of the instance at `address`.
-void answerPeer(CellState&, const std::string& address, std::uint64_t call, cellwire::PeerMessage answer, CellActions&);
+/// Whom the answer to the query goes to.
+Asker askerOf(const cellwire::PeerMessage& query);
+void answerPeer(CellState&, const Asker&, cellwire::PeerMessage answer, CellActions&);
 
 /// Sends a message that is not answered.
 void notifyPeer(CellState&, const std::string& address, cellwire::PeerMessage, CellActions&);
@@ -23,7 +24,5 @@
 void handlePeerFrame(CellState&, const PeerFrame&, const Instant& now, CellActions&);
 /// Completes queries whose timeout has expired.
 void tickPeerCalls(CellState&, const Instant& now, CellActions&);
-/// Joins the frames that leave for one address at the end of this turn.
-void tickFrames(CellState&, const Instant& now, CellActions&);
 
 } // namespace crocuslever::cell
--- /dev/null
+++ b/src/cell/PeerFrames.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "src/cell/CellState.h"
+
+namespace crocuslever::cell {
+
+// What frames between instances say of the processes that send and receive them. An address outlasts the process that
+// listens on it: frames that wait for a process may reach the next one there.
+
+/// The process to address at `address`: the one that was heard there last. 0: none was heard lately.
+ProcessId processAt(const CellState&, const std::string& address);
+/// Takes in that a message of the process has come from the address.
+void noteProcess(CellState&, const std::string& address, ProcessId, TimePoint now);
+/// Forgets the process at the address, which is being replaced by another one.
+void forgetProcess(CellState&, const std::string& address);
+
+/// Joins the frames that leave for one process at the end of this turn, and names the processes in each.
+void tickFrames(CellState&, const Instant& now, CellActions&);
+
+} // namespace crocuslever::cell
--- a/src/cell/Relay.cpp
+++ b/src/cell/Relay.cpp
@@ -130,13 +130,11 @@
 
 void relayStoreQuery(CellState& state, const wire::PeerMessage& query, CellActions& actions)
 {
-    const std::string& peer = query.sender();
-    std::uint64_t call = query.call();
-    auto answer = [peer, call](CellState& s, const StoreReply& reply, const Instant&, CellActions& out) {
+    auto answer = [asker = askerOf(query)](CellState& s, const StoreReply& reply, const Instant&, CellActions& out) {
         wire::PeerMessage message;
         encodeAnswer(reply, *message.mutable_store_answer());
         s.relay.relayedTickets.erase(reply.ticket);
-        answerPeer(s, peer, call, std::move(message), out);
+        answerPeer(s, asker, std::move(message), out);
     };
     if (state.relay.isOn || !isStoreReachable(state)) {
         StoreReply refusal;
--- a/tests/CellPeerCallsTest.cpp
+++ b/tests/CellPeerCallsTest.cpp
@@ -4,6 +4,7 @@
 
 #include "cell.pb.h"
 #include "src/cell/PeerCalls.h"
+#include "src/cell/PeerFrames.h"
 
 using namespace crocuslever;
 using namespace crocuslever::cell;
--- a/tests/PeerCallsTest.cpp
+++ b/tests/PeerCallsTest.cpp
@@ -1,4 +1,5 @@
 #include "src/cell/PeerCalls.h"
+#include "src/cell/PeerFrames.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -36,6 +37,7 @@
     cellwire::PeerMessage makeAnswer() const
     {
         cellwire::PeerMessage answer;
+        answer.set_sender("10.0.0.2:1");
         answer.set_call(call);
         answer.mutable_count_answer()->set_known(true);
         return answer;
