Give a restarted upstream no work before its own directory entry is read

Cause: an upstream's start time comes from two sources, its directory entry and its answers to polls; its service, labels, place, capacity and draining come from the entry alone. A poll that found a restart took the new start time into the entry, so that the former incarnation's facts passed for the new one's until the directory was read again, up to 0.4 s, or as long as it couldn't be.

Change: the row of an upstream keeps the start time of the present incarnation beside the entry. Where the two differ, the upstream is not open, its service is not known, and /explain-placement says outdated_entry. Why this works: every start needs an open upstream, and a restart ends what was under way. upstream_entry_wait_seconds measures the wait.

--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -188,7 +188,9 @@
 };
 
 struct UpstreamRow {
-    DirectoryEntry entry;
+    DirectoryEntry entry; ///< As last read. It describes an earlier incarnation until the present one's is read; see isDescribed().
+    std::int64_t bornMs { 0 }; ///< Start time of the present incarnation, by its entry or by its answers.
+    TimePoint restartFoundAt; ///< When its restart was found; TimePoint(): it is the first one that this owner knows.
     UpstreamIncarnation incarnation { 0 };
     std::string delegate; ///< Address of the instance that calls it for this owner; empty: not chosen yet.
     std::string failedDelegate; ///< The latest one whose polls failed; another is chosen if there is one.
--- a/src/cell/ExplainPlacement.cpp
+++ b/src/cell/ExplainPlacement.cpp
@@ -20,6 +20,8 @@
 const char* toString(LeftOut reason)
 {
     switch (reason) {
+    case LeftOut::OutdatedEntry:
+        return "outdated_entry";
     case LeftOut::OtherService:
         return "other_service";
     case LeftOut::MissingLabel:
@@ -169,6 +171,8 @@
 /// Why no run may be placed on the upstream, whatever its room; unset: it may.
 static std::optional<LeftOut> findObstacle(const CellState& state, const StepSpec& step, const Route& route, const UpstreamRow& upstream, TimePoint now)
 {
+    if (upstream.listed && !isDescribed(upstream))
+        return LeftOut::OutdatedEntry;
     if (upstream.entry.service != route.service)
         return LeftOut::OtherService;
     if (!isSuitable(step, route, upstream))
--- a/src/cell/ExplainPlacement.h
+++ b/src/cell/ExplainPlacement.h
@@ -28,6 +28,7 @@
 
 /// Why an upstream can't run a task of a step now. An upstream counts for the first that applies, in this order.
 enum class LeftOut {
+    OutdatedEntry, ///< The directory still shows an earlier incarnation.
     OtherService,
     MissingLabel,
     Unlisted, ///< Not in the latest reading of the directory, or replaced.
--- a/src/cell/Interference.cpp
+++ b/src/cell/Interference.cpp
@@ -4,6 +4,7 @@
 
 #include "src/cell/Ownership.h"
 #include "src/cell/StoreCalls.h"
+#include "src/cell/Upstreams.h"
 
 namespace crocuslever::cell {
 
@@ -192,8 +193,7 @@
     order.ticket = state.nextTicket++;
     state.interference.orders[order.ticket] = name;
     state.counters.add("pace_orders_total");
-    UpstreamTarget target { upstream.entry.id, upstream.entry.address, upstream.entry.bornMs };
-    actions.push_back(RunPace { order.ticket, target, name.second, run.run, order.ordered, state.ownership.token });
+    actions.push_back(RunPace { order.ticket, targetOf(upstream), name.second, run.run, order.ordered, state.ownership.token });
 }
 
 void tickInterference(CellState& state, const Instant& now, CellActions& actions)
--- a/src/cell/UpstreamDirectory.cpp
+++ b/src/cell/UpstreamDirectory.cpp
@@ -6,6 +6,7 @@
 #include "src/cell/Declarations.h"
 #include "src/cell/Jobs.h"
 #include "src/cell/Keys.h"
+#include "src/cell/Latency.h"
 #include "src/cell/Ownership.h"
 #include "src/cell/RecordCodec.h"
 #include "src/cell/Runs.h"
@@ -79,10 +80,11 @@
 // The new incarnation knows nothing of the runs of the previous one, and executes no order that was meant for it.
 void handleUpstreamRestart(CellState& state, UpstreamRow& upstream, std::int64_t bornMs, const Instant& now, CellActions& actions)
 {
-    logMessage(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "restarted, new incarnation " + std::to_string(bornMs) + "; the previous one had " + std::to_string(upstream.runs.size()) + " runs");
+    logMessage(actions, LogLevel::Info, "upstream.life", upstream.entry.id, "", "restarted, new incarnation " + std::to_string(bornMs) + ", takes no work until its directory entry is read; the previous one had " + std::to_string(upstream.runs.size()) + " runs");
     recordCrash(state, upstream, now, actions);
     loseAllRuns(state, upstream, now, actions);
-    upstream.entry.bornMs = bornMs;
+    upstream.bornMs = bornMs;
+    upstream.restartFoundAt = now.steady;
     assignIncarnation(state, upstream);
     upstream.fenced = false;
     upstream.unknownRuns = 0;
@@ -105,7 +107,7 @@
         return;
     upstream.entry.id = target.id;
     upstream.entry.address = target.address;
-    upstream.entry.bornMs = target.bornMs;
+    upstream.bornMs = target.bornMs;
     assignIncarnation(state, upstream);
     upstream.leasesEnd = state.ownership.earlierRunsEnd;
     upstream.nextPoll = now;
@@ -115,13 +117,18 @@
 {
     UpstreamRow& upstream = state.upstreams[entry.id];
     bool isNew = upstream.entry.id.empty();
-    if (!isNew && entry.bornMs < upstream.entry.bornMs)
+    if (!isNew && entry.bornMs < upstream.bornMs)
         return; // Stale entry of an earlier incarnation.
-    if (isNew)
+    bool isFirstOfIncarnation = isNew || upstream.entry.bornMs != entry.bornMs;
+    if (isNew) {
+        upstream.bornMs = entry.bornMs;
         assignIncarnation(state, upstream);
-    else if (upstream.entry.bornMs != entry.bornMs)
+    } else if (upstream.bornMs != entry.bornMs) {
         handleUpstreamRestart(state, upstream, entry.bornMs, now, actions);
-    if (isNew || upstream.entry.draining != entry.draining || !upstream.listed) {
+    }
+    if (isFirstOfIncarnation && upstream.restartFoundAt != TimePoint())
+        observeLatency(state.counters, "upstream_entry_wait_seconds", now.steady - upstream.restartFoundAt);
+    if (isFirstOfIncarnation || upstream.entry.draining != entry.draining || !upstream.listed) {
         state.placementDue = true;
         logMessage(actions, LogLevel::Info, "upstream.listed", entry.id, "", std::string(entry.draining ? "draining" : "ready") + " in " + entry.domain + " at " + entry.address);
     }
@@ -134,9 +141,9 @@
 static bool isReplacedBy(const UpstreamRow& upstream, const DirectoryEntry& entry, const Instant& now)
 {
     const DirectoryEntry& earlier = upstream.entry;
-    bool isLater = earlier.bornMs > 0 && earlier.bornMs < entry.bornMs && entry.bornMs < now.wallMs + kMaxClockErrorMs;
-    // An upstream known from an earlier owner only has no service yet.
-    bool isSameService = earlier.service.empty() || earlier.service == entry.service;
+    bool isLater = upstream.bornMs > 0 && upstream.bornMs < entry.bornMs && entry.bornMs < now.wallMs + kMaxClockErrorMs;
+    // The service of an incarnation isn't known before its entry is read.
+    bool isSameService = !isDescribed(upstream) || earlier.service == entry.service;
     return upstream.failedPolls > 0 && earlier.id != entry.id && isLater && isSameService;
 }
 
--- a/src/cell/Upstreams.cpp
+++ b/src/cell/Upstreams.cpp
@@ -39,7 +39,7 @@
 
 UpstreamTarget targetOf(const UpstreamRow& upstream)
 {
-    return { upstream.entry.id, upstream.entry.address, upstream.entry.bornMs };
+    return { upstream.entry.id, upstream.entry.address, upstream.bornMs };
 }
 
 Resources amountOf(const StepSpec& step)
@@ -51,9 +51,11 @@
     return amount;
 }
 
+bool isDescribed(const UpstreamRow& upstream) { return upstream.entry.bornMs == upstream.bornMs; }
+
 bool isOpen(const CellState& state, const UpstreamRow& upstream)
 {
-    return upstream.listed && !upstream.entry.draining && state.evacuated.value.count(upstream.entry.domain) == 0;
+    return upstream.listed && isDescribed(upstream) && !upstream.entry.draining && state.evacuated.value.count(upstream.entry.domain) == 0;
 }
 
 bool acceptsWork(const CellState& state, const UpstreamRow& upstream, TimePoint now)
@@ -396,7 +398,7 @@
         countFailedPoll(state, upstream, result.outcome, now, actions);
         return;
     }
-    if (result.bornMs != 0 && result.bornMs != upstream.entry.bornMs)
+    if (result.bornMs != 0 && result.bornMs != upstream.bornMs)
         handleUpstreamRestart(state, upstream, result.bornMs, now, actions);
     applyPollResult(state, upstream, result, now, actions);
 }
--- a/src/cell/Upstreams.h
+++ b/src/cell/Upstreams.h
@@ -15,6 +15,9 @@
 
 UpstreamTarget targetOf(const UpstreamRow&);
 
+/// True if the directory entry is that of the present incarnation. Service, labels, place, capacity and draining are known
+/// from it alone.
+bool isDescribed(const UpstreamRow&);
 /// True if neither the directory nor the operators keep new runs off the upstream.
 bool isOpen(const CellState&, const UpstreamRow&);
 /// True if this owner may start tasks now: it may issue orders, and what it knows of the upstreams and the
--- /dev/null
+++ b/tests/CellRestartTest.cpp
@@ -0,0 +1,167 @@
+// Upstreams that start again under their ids, as something else than before.
+
+#include "src/cell/Upstreams.h"
+#include "tests/CellFixture.h"
+
+using namespace crocuslever;
+using namespace crocuslever::cell;
+using namespace crocuslever::cell::testing;
+
+BOOST_AUTO_TEST_SUITE(CellRestartTest)
+
+static const std::string kFormerLabel = "b";
+/// The owner learns of a restart from a poll, up to 400 ms before it reads the entry. Which of the two is first, and by how much,
+/// depends on the times of both, and so on the seed.
+static constexpr std::uint64_t kSeeds = 20;
+static constexpr Duration kSettlingStep = std::chrono::milliseconds(40);
+static constexpr Duration kLeastDownTime = std::chrono::milliseconds(1000);
+static constexpr Duration kDownTimeStep = std::chrono::milliseconds(50);
+
+/// A cell of two upstreams. The first starts again while jobs wait for room on both.
+struct RestartFixture : CellFixture {
+    explicit RestartFixture(std::uint64_t seed)
+        : CellFixture(makeSettings(seed))
+    {
+        for (const std::string& id : emulator.upstreamIds())
+            emulator.entryOf(id).labels = { kFormerLabel };
+        emulator.runFor(std::chrono::seconds(1) + kSettlingStep * static_cast<std::int64_t>(seed));
+    }
+
+    static EmulatorSettings makeSettings(std::uint64_t seed)
+    {
+        EmulatorSettings settings;
+        settings.upstreams = 2;
+        settings.seed = seed;
+        return settings;
+    }
+
+    void submitMoreThanFits(const StepSpec& step)
+    {
+        for (int n = 1; n <= 40; ++n)
+            emulator.submit(jobId(n), makeJob(makeScript(1000), { step }), other());
+        emulator.runFor(std::chrono::milliseconds(500));
+    }
+
+    /// The first upstream is down for a while and starts again as `entry` says.
+    void restart(const DirectoryEntry& entry)
+    {
+        emulator.cutUpstream("u0", true);
+        emulator.runFor(kLeastDownTime + kDownTimeStep * static_cast<std::int64_t>(settings.seed));
+        emulator.entryOf("u0") = entry;
+        emulator.crashUpstream("u0");
+        emulator.cutUpstream("u0", false);
+        restartedAt = emulator.now();
+    }
+
+    DirectoryEntry entry() { return emulator.entryOf("u0"); }
+
+    std::vector<RunRecord> startsSinceRestart() const
+    {
+        std::vector<RunRecord> starts;
+        std::copy_if(emulator.history().begin(), emulator.history().end(), std::back_inserter(starts), [this](const RunRecord& it) { return it.upstream == "u0" && it.from > restartedAt; });
+        return starts;
+    }
+
+    TimePoint restartedAt;
+};
+
+// review/15: tasks started on an upstream without the label that they need, which it had before it was restarted.
+BOOST_AUTO_TEST_CASE(RestartedUpstreamGetsTasksByItsFormerLabels)
+{
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            RestartFixture cell(seed);
+            StepSpec step = makeStep(2, 2000);
+            step.requiredLabel = kFormerLabel;
+            cell.submitMoreThanFits(step);
+            DirectoryEntry entry = cell.entry();
+            entry.labels = { "a" };
+            cell.restart(entry);
+            cell.emulator.runFor(std::chrono::seconds(2));
+            BOOST_TEST(cell.startsSinceRestart().empty());
+            cell.checkRules();
+        }
+    }
+}
+
+// A smaller successor under the same id got as many tasks as fitted before.
+BOOST_AUTO_TEST_CASE(RestartedUpstreamGetsTasksByItsFormerCapacity)
+{
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            RestartFixture cell(seed);
+            cell.submitMoreThanFits(makeStep(2, 2000));
+            DirectoryEntry entry = cell.entry();
+            entry.capacity = { 2000, 16000, 0, 0 };
+            cell.restart(entry);
+            cell.emulator.runFor(std::chrono::milliseconds(900)); // Less than a run takes.
+            BOOST_TEST(cell.startsSinceRestart().size() <= 1U);
+        }
+    }
+}
+
+// So did one that serves another queue.
+BOOST_AUTO_TEST_CASE(RestartedUpstreamGetsTasksOfItsFormerService)
+{
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            RestartFixture cell(seed);
+            cell.submitMoreThanFits(makeStep(2, 2000));
+            DirectoryEntry entry = cell.entry();
+            entry.service = "other";
+            cell.restart(entry);
+            cell.emulator.runFor(std::chrono::seconds(2));
+            BOOST_TEST(cell.startsSinceRestart().empty());
+        }
+    }
+}
+
+// An upstream that is drained in its new incarnation got work until the directory was read.
+BOOST_AUTO_TEST_CASE(RestartedUpstreamGetsTasksWhileItDrains)
+{
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            RestartFixture cell(seed);
+            cell.submitMoreThanFits(makeStep(2, 2000));
+            DirectoryEntry entry = cell.entry();
+            entry.draining = true;
+            cell.restart(entry);
+            cell.emulator.runFor(std::chrono::seconds(2));
+            BOOST_TEST(cell.startsSinceRestart().empty());
+        }
+    }
+}
+
+// One that is as it was before works again as soon as its entry is read; the wait is counted.
+BOOST_AUTO_TEST_CASE(RestartedUpstreamIsNotUsedAgain)
+{
+    RestartFixture cell(1);
+    cell.submitMoreThanFits(makeStep(2, 2000));
+    cell.restart(cell.entry());
+    cell.emulator.runFor(std::chrono::milliseconds(1200));
+    BOOST_TEST(cell.startsSinceRestart().size() >= 4U);
+    BOOST_TEST(cell.emulator.core(cell.owner()).counters.get("upstream_entry_wait_seconds_count") == 1);
+    cell.checkRules();
+    cell.checkAccounting();
+}
+
+// While the directory can't be read nothing is known of it. It must not be used, and must be as soon as it can.
+BOOST_AUTO_TEST_CASE(RestartedUpstreamIsUsedBeforeItsEntryIsRead)
+{
+    RestartFixture cell(1);
+    cell.submitMoreThanFits(makeStep(2, 2000));
+    cell.emulator.setDirectoryUnreadable(true);
+    cell.restart(cell.entry());
+    cell.emulator.runFor(std::chrono::milliseconds(1200));
+    BOOST_TEST(cell.startsSinceRestart().empty());
+    cell.emulator.setDirectoryUnreadable(false);
+    cell.emulator.runFor(std::chrono::milliseconds(1500));
+    BOOST_TEST(!cell.startsSinceRestart().empty());
+    cell.checkRules();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/emulator/CellEmulator.h
+++ b/tests/emulator/CellEmulator.h
@@ -103,6 +103,8 @@
     /// The instance does nothing for the time; what reaches it meanwhile is handled afterwards, all at once.
     void freeze(std::size_t instance, Duration);
     void crashUpstream(const std::string& id);
+    /// The upstream's directory entry, which may be changed at any time.
+    DirectoryEntry& entryOf(const std::string& id) { return m_upstreams.at(id).entry; }
     /// Starts a run of the task that the present owner has not ordered, as an earlier one may have.
     void startStrayRun(const std::string& upstream, const std::string& task, int run, const TaskScript&);
     /// Adds an entry that names no upstream, at the address of one and with a later start.
