Use an upstream again that was taken for replaced and starts again

Callers' tasks waited although an upstream could have run them: one at whose address a later one was listed (UpstreamRow::isReplaced) stood idle for good after it had started again under its own id, as nothing took the mark back, and it was neither polled nor given work.

Change: a restart takes the mark back. It stands for the end of one incarnation, and the later one is listed with a start time of its own.

Evidence: CellRestartTest/ReplacedUpstreamThatStartsAgainStandsIdle fails on (trial on a copy) and holds here.

--- a/src/cell/UpstreamDirectory.cpp
+++ b/src/cell/UpstreamDirectory.cpp
@@ -86,6 +86,7 @@
     upstream.bornMs = bornMs;
     upstream.restartFoundAt = now.steady;
     assignIncarnation(state, upstream);
+    upstream.isReplaced = false;
     upstream.fenced = false;
     upstream.unknownRuns = 0;
     upstream.clockKnown = false;
--- a/tests/CellRestartTest.cpp
+++ b/tests/CellRestartTest.cpp
@@ -164,4 +164,18 @@
     cell.checkRules();
 }
 
+// An upstream at whose address a later one was listed stood idle for good once it had started again under its id.
+BOOST_AUTO_TEST_CASE(ReplacedUpstreamThatStartsAgainStandsIdle)
+{
+    RestartFixture cell(1);
+    cell.emulator.cutUpstream("u0", true);
+    cell.emulator.addOddEntry("u0");
+    cell.emulator.runFor(std::chrono::seconds(3));
+    BOOST_TEST_REQUIRE(cell.emulator.core(cell.owner()).upstreams.at("u0").isReplaced);
+    cell.restart(cell.entry());
+    cell.emulator.runFor(std::chrono::seconds(1));
+    cell.submitMoreThanFits(makeStep(2, 2000));
+    BOOST_TEST(!cell.startsSinceRestart().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
