Number the calls of crocusleverd from a random start

Callers of an instance of crocusleverd that had started again could get the answer to another caller's request.

Change: the first number is random, out of 2^62. Why this works: the numbers of two processes don't meet but by a chance as small as that of two sessions having one id, on which leases rest already. It needs no field, so that instances of both versions understand each other.

Evidence: CallerServerTest/ProcessesNumberTheirCallsAlike fails without the change (1 number for three servers) and holds with it. Found by reading; no caller has been seen with a wrong answer.

--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <random>
 #include <set>
 #include <unordered_map>
 
@@ -21,6 +22,7 @@
 using boost::system::error_code;
 using tcp = net::ip::tcp;
 
+static constexpr CallId kLastFirstCall = CallId(1) << 62; ///< Leaves room for the calls of a process.
 // Closing a socket that has unread input sends a reset, which can discard the answer before the
 // caller reads it. Input that arrives after the answer is therefore read and dropped first, up to
 // this time and size.
@@ -43,6 +45,14 @@
 
 } // namespace
 
+/// Calls are numbered from here. Peers answer with the number alone, so that the next process at this address must not use
+/// those of its predecessor, whose answers may still be on their way.
+static CallId randomFirstCall()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<CallId>(1, kLastFirstCall)(device);
+}
+
 struct CallerServerState : std::enable_shared_from_this<CallerServerState> {
     CallerServerState(net::io_context& context, CallerServerSettings serverSettings, EventSink eventSink, CallerServerSources serverSources)
         : settings(std::move(serverSettings))
@@ -67,7 +77,7 @@
     net::steady_timer acceptTimer;
     std::set<Connection*> connections;
     std::unordered_map<CallId, PendingCall> calls;
-    CallId nextCall { 1 };
+    CallId nextCall { randomFirstCall() };
     bool draining { false };
     std::int64_t requests { 0 };
     std::int64_t refused { 0 };
--- a/tests/CallerServerTest.cpp
+++ b/tests/CallerServerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <set>
 
 #include "tests/CallerServerFixture.h"
 
@@ -86,6 +87,22 @@
     BOOST_TEST(two.read().body == "for two");
 }
 
+// A restarted instance took the answers that peers had sent to its predecessor: calls of the same number.
+BOOST_AUTO_TEST_CASE(ProcessesNumberTheirCallsAlike)
+{
+    std::set<CallId> numbers;
+    for (int n = 0; n < 3; ++n) {
+        ServerUnderTest server;
+        RawClient client(server.port());
+        client.send(httpRequest("POST /v1/urgent/a", "one"));
+        CallerCall call = server.nextCall();
+        numbers.insert(call.id);
+        server.replyDone(call.id, "done");
+        BOOST_TEST(client.read().body == "done");
+    }
+    BOOST_TEST(numbers.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(LateAndDuplicateRepliesAreDroppedAndCounted)
 {
     ServerUnderTest server;
