Begin the timeouts of queries only when they leave

In a long turn those that were still to leave timed out early; nobody has seen it, it was found by reading the diff.

Change: a renewal finishes its own frames only (finishFrames()).

Evidence: CellPeerCallsTest/RenewalWithinATurnBeginsTheTimeouts fails without the change.

--- a/src/cell/Membership.cpp
+++ b/src/cell/Membership.cpp
@@ -198,7 +198,7 @@
     if (actions.empty())
         return;
     tickRelay(state, now, actions);
-    tickFrames(state, now, actions);
+    finishFrames(state, actions);
 }
 
 void tickMembership(CellState& state, const Instant& now, CellActions& actions)
--- a/src/cell/PeerFrames.cpp
+++ b/src/cell/PeerFrames.cpp
@@ -60,11 +60,8 @@
     return joined.SerializeAsString();
 }
 
-void tickFrames(CellState& state, const Instant& now, CellActions& actions)
+void finishFrames(const CellState& state, CellActions& actions)
 {
-    state.sentPeerCalls.insert(state.sentPeerCalls.end(), state.unsentPeerCalls.begin(), state.unsentPeerCalls.end());
-    state.unsentPeerCalls.clear();
-    forgetSilentProcesses(state, now.steady);
     std::map<std::pair<std::string, ProcessId>, std::vector<std::string>> framesTo;
     auto isTaken = [&framesTo](CellAction& action) {
         SendPeerFrame* frame = std::get_if<SendPeerFrame>(&action);
@@ -79,4 +76,12 @@
     }
 }
 
+void tickFrames(CellState& state, const Instant& now, CellActions& actions)
+{
+    state.sentPeerCalls.insert(state.sentPeerCalls.end(), state.unsentPeerCalls.begin(), state.unsentPeerCalls.end());
+    state.unsentPeerCalls.clear();
+    forgetSilentProcesses(state, now.steady);
+    finishFrames(state, actions);
+}
+
 } // namespace crocuslever::cell
--- a/src/cell/PeerFrames.h
+++ b/src/cell/PeerFrames.h
@@ -14,7 +14,9 @@
 /// Forgets the process at the address, which is being replaced by another one.
 void forgetProcess(CellState&, const std::string& address);
 
-/// Joins the frames that leave for one process at the end of this turn, and names the processes in each.
+/// Joins the frames for one process among the actions, which leave now, and names the processes in each.
+void finishFrames(const CellState&, CellActions&);
+/// Finishes the frames that leave at the end of this turn.
 void tickFrames(CellState&, const Instant& now, CellActions&);
 
 } // namespace crocuslever::cell
--- a/tests/CellPeerCallsTest.cpp
+++ b/tests/CellPeerCallsTest.cpp
@@ -57,6 +57,20 @@
     BOOST_TEST(asker.timeouts == 1);
 }
 
+// A renewal of the lease within a long turn began the timeouts of the queries that were still to leave.
+BOOST_AUTO_TEST_CASE(RenewalWithinATurnBeginsTheTimeouts)
+{
+    Asker asker;
+    asker.state.membership.lease = 1;
+    asker.ask(milliseconds(300), milliseconds(1000));
+    CellActions renewal;
+    tickLease(asker.state, at(milliseconds(1000)), renewal);
+    BOOST_TEST(renewal.size() == 1U);
+    asker.turn(milliseconds(1000), milliseconds(500));
+    asker.turn(milliseconds(1500), milliseconds(1));
+    BOOST_TEST(asker.timeouts == 0);
+}
+
 // The timeout of a query that is made while frames are unread must not begin anew in each turn.
 BOOST_AUTO_TEST_CASE(QueryNeverTimesOutWhileFramesArrive)
 {
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
+#include "cell.pb.h"
 #include "src/cell/Keys.h"
 #include "src/cell/StoreCalls.h"
 
@@ -348,7 +349,11 @@
     now.steady += std::chrono::milliseconds(400);
     CellActions actions = callTickLease(*this);
     BOOST_REQUIRE(actions.size() == 1U);
-    BOOST_TEST(std::get<SendPeerFrame>(actions[0]).address == "10.0.0.2:1");
+    const SendPeerFrame& frame = std::get<SendPeerFrame>(actions[0]);
+    BOOST_TEST(frame.address == "10.0.0.2:1");
+    cellwire::PeerMessage query;
+    BOOST_REQUIRE(query.ParseFromString(frame.bytes));
+    BOOST_TEST(query.sender_process() == state.process);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
