Hold the ports of the soak's daemons

Cause: standin::freeAddress() gives a port of the range for outgoing connections and gives it back, and the daemons that start before take it for theirs.

Change: the soak binds all ports of its daemons before the first one starts and never listens there, so that connections don't get them, also while a daemon is down. The stand-ins of review/ stay as they are.

--- a/tests/soak/SoakCell.cpp
+++ b/tests/soak/SoakCell.cpp
@@ -52,8 +52,10 @@
     m_links.start();
     for (const std::unique_ptr<standin::Instance>& it : m_instances) {
         it->writeSettings(m_gateAddress, seeds);
-        it->start();
+        m_ports.holdPortsOf(it->name() + ".yaml");
     }
+    for (const std::unique_ptr<standin::Instance>& it : m_instances)
+        it->start();
     standin::Queue queue { "plan", kQueuePath, kAttempts };
     m_store.put("op/config", standin::makeConfiguration(kConfigurationVersion, { queue }));
 }
--- a/tests/soak/SoakCell.h
+++ b/tests/soak/SoakCell.h
@@ -12,6 +12,7 @@
 #include "review/standin/Cell.h"
 #include "tests/soak/AckLog.h"
 #include "tests/soak/LinkGates.h"
+#include "tests/soak/PortHolder.h"
 #include "tests/soak/SoakChecks.h"
 #include "tests/soak/StoreGate.h"
 
@@ -74,6 +75,7 @@
     AckLog m_acks;
     LinkGates m_links;
     std::vector<std::unique_ptr<standin::Worker>> m_workers;
+    PortHolder m_ports; ///< Of the instances.
     std::vector<std::unique_ptr<standin::Instance>> m_instances;
     std::mutex m_processes; ///< Held while processes are started or ended, or get signals.
     std::vector<std::size_t> m_crashed; ///< Workers that are down.
