--- a/tests/PeerProcessesTest.cpp
+++ b/tests/PeerProcessesTest.cpp
@@ -19,7 +19,7 @@
 static const std::string kAskerAddress = "10.0.0.1:1";
 static const std::string kPeerAddress = "10.0.0.2:1";
 
-/// What the store, upstreams and the advice service answer to everything.
+/// Revision in all answers of the store.
 static constexpr StoreRevision kRevision = 77;
 
 namespace {
