Hold the ports of all servers of a test from the moment they are drawn

The test gave up before its 30 s were over (25.8 s for all 18 tests), so the daemon had ended by itself at its start; its log wasn't kept.

Cause (suspected from what was printed): standin::freeAddress() asks for any free port and lets it go again, so the next address may be the same one, and any outgoing connection may take it before its server listens.

Change: PortHolder (now in tests/support) also draws addresses and keeps them bound; the hostile daemon, and the soak's store, gate, workers and instances use it. A port is held without sharing it first, so that a second holder is refused; an instance of the soak whose ports can't be held is drawn again. A hostile daemon that isn't ready prints its state and the end of its log.

--- a/tests/hostile/HostileDaemon.cpp
+++ b/tests/hostile/HostileDaemon.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 namespace crocuslever::hostile {
@@ -27,7 +28,7 @@
     , m_record(m_folder + "/record.txt")
     , m_runs(m_record)
     , m_store(m_storeAddress)
-    , m_worker(m_store, m_runs, m_record, "w0", standin::freeAddress(), "a")
+    , m_worker(m_store, m_runs, m_record, "w0", m_ports.holdFreeAddress(), "a")
 {
     m_worker.start();
     m_store.put("op/config", standin::makeConfiguration(kConfigurationVersion, { { "plan", "/plan/" } }));
@@ -36,12 +37,23 @@
     std::int64_t end = standin::now() + kReadyWithinMs;
     while (standin::callHttp(m_readiness, "GET", "/-/ready", { { "Host", "ready" } }, "", kCallTimeoutMs).status != 200) {
         if (!isAlive() || standin::now() > end)
-            throw std::runtime_error("the daemon is not ready; its log is in " + m_folder);
+            fail("is not ready");
         standin::Cell::sleep(kRetryDelayMs);
     }
     // The first job is accepted once the daemon owns the cell and knows the upstream.
     if (!acceptsJob())
-        throw std::runtime_error("the daemon accepts no job; its log is in " + m_folder);
+        fail("accepts no job");
+}
+
+// CI keeps no file of a failed run: the reason has to be in what it prints.
+void HostileDaemon::fail(const std::string& what)
+{
+    constexpr std::size_t kLastBytes = 2000;
+    std::string state = isAlive() ? "runs" : "has ended with " + std::to_string(*m_process->poll());
+    std::ifstream file(m_folder + "/daemon.log");
+    std::string text { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    text.erase(0, text.size() - std::min(text.size(), kLastBytes));
+    throw std::runtime_error("the daemon " + what + ", it " + state + "; its log is in " + m_folder + ", the end of it:\n" + text);
 }
 
 HostileDaemon::~HostileDaemon()
--- a/tests/hostile/HostileDaemon.h
+++ b/tests/hostile/HostileDaemon.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "review/standin/Cell.h"
+#include "tests/support/PortHolder.h"
 #include "tests/support/Process.h"
 
 namespace crocuslever::hostile {
@@ -33,13 +34,16 @@
 
 private:
     void writeSettings() const;
+    /// Throws with the end of the daemon's log.
+    [[noreturn]] void fail(const std::string& what);
     std::string processFile(const std::string& name) const;
 
     std::string m_folder;
-    std::string m_storeAddress { standin::freeAddress() };
-    std::string m_callers { standin::freeAddress() };
-    std::string m_readiness { standin::freeAddress() };
-    std::string m_peers { standin::freeAddress() };
+    testing::PortHolder m_ports;
+    std::string m_storeAddress { m_ports.holdFreeAddress() };
+    std::string m_callers { m_ports.holdFreeAddress() };
+    std::string m_readiness { m_ports.holdFreeAddress() };
+    std::string m_peers { m_ports.holdFreeAddress() };
     standin::Record m_record;
     standin::RunLog m_runs;
     standin::Store m_store;
--- a/tests/soak/SoakCell.cpp
+++ b/tests/soak/SoakCell.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <stdexcept>
 
 #include "tests/soak/GateAddress.h"
 
@@ -29,8 +30,8 @@
     : m_random(seed)
     , m_record((enterFolder(program, folder) / "record.txt").string())
     , m_runs(m_record)
-    , m_storeAddress(standin::freeAddress())
-    , m_gateAddress(standin::freeAddress())
+    , m_storeAddress(m_ports.holdFreeAddress())
+    , m_gateAddress(m_ports.holdFreeAddress())
     , m_store(m_storeAddress)
     , m_gate(m_gateAddress, m_storeAddress, seed)
     , m_links(seed, m_acks)
@@ -38,28 +39,39 @@
     ::setenv("LD_PRELOAD", CROCUSLEVER_SOAK_PRELOAD, 1);
     m_links.guard(m_gateAddress, { Node::Store, 0 });
     for (std::size_t n = 0; n < kWorkers; ++n) {
-        std::string address = standin::freeAddress();
+        std::string address = m_ports.holdFreeAddress();
         m_workers.push_back(std::make_unique<standin::Worker>(m_store, m_runs, m_record, "w" + std::to_string(n), address, kDomainNames[n % kDomains]));
         m_workers.back()->start();
         m_links.guard(address, { Node::Worker, n });
     }
     std::string seeds;
     for (std::size_t n = 0; n < kInstances; ++n) {
-        m_instances.push_back(std::make_unique<standin::Instance>(kInstancePrefix + std::to_string(n), kDomainNames[n % kDomains], std::filesystem::current_path().string()));
+        m_instances.push_back(makeInstance(n));
         seeds += (n > 0 ? ",\"" : "\"") + m_instances.back()->peers() + "\"";
         m_links.guard(m_instances.back()->peers(), { Node::Instance, n });
     }
     m_links.start();
-    for (const std::unique_ptr<standin::Instance>& it : m_instances) {
+    for (const std::unique_ptr<standin::Instance>& it : m_instances)
         it->writeSettings(m_gateAddress, seeds);
-        m_ports.holdPortsOf(it->name() + ".yaml");
-    }
     for (const std::unique_ptr<standin::Instance>& it : m_instances)
         it->start();
     standin::Queue queue { "plan", kQueuePath, kAttempts };
     m_store.put("op/config", standin::makeConfiguration(kConfigurationVersion, { queue }));
 }
 
+/// An instance draws its addresses itself, and possibly one that is taken since or that it has drawn before; then another one does.
+std::unique_ptr<standin::Instance> SoakCell::makeInstance(std::size_t n)
+{
+    constexpr int kTries = 20;
+    for (int k = 0; k < kTries; ++k) {
+        auto instance = std::make_unique<standin::Instance>(kInstancePrefix + std::to_string(n), kDomainNames[n % kDomains], std::filesystem::current_path().string());
+        instance->writeSettings(m_gateAddress, "");
+        if (m_ports.holdPortsOf(instance->name() + ".yaml"))
+            return instance;
+    }
+    throw std::runtime_error("no ports for instance " + std::to_string(n));
+}
+
 SoakCell::~SoakCell() { m_instances.clear(); }
 
 bool SoakCell::awaitReady()
--- a/tests/soak/SoakCell.h
+++ b/tests/soak/SoakCell.h
@@ -12,9 +12,9 @@
 #include "review/standin/Cell.h"
 #include "tests/soak/AckLog.h"
 #include "tests/soak/LinkGates.h"
-#include "tests/soak/PortHolder.h"
 #include "tests/soak/SoakChecks.h"
 #include "tests/soak/StoreGate.h"
+#include "tests/support/PortHolder.h"
 
 namespace crocuslever::soak {
 
@@ -65,9 +65,12 @@
     void note(const std::string& line) { m_record.write(line); }
 
 private:
+    std::unique_ptr<standin::Instance> makeInstance(std::size_t n);
+
     std::mt19937_64 m_random;
     standin::Record m_record;
     standin::RunLog m_runs;
+    testing::PortHolder m_ports; ///< Of the instances and the stand-ins.
     std::string m_storeAddress;
     std::string m_gateAddress;
     standin::Store m_store;
@@ -75,7 +78,6 @@
     AckLog m_acks;
     LinkGates m_links;
     std::vector<std::unique_ptr<standin::Worker>> m_workers;
-    PortHolder m_ports; ///< Of the instances.
     std::vector<std::unique_ptr<standin::Instance>> m_instances;
     std::mutex m_processes; ///< Held while processes are started or ended, or get signals.
     std::vector<std::size_t> m_crashed; ///< Workers that are down.
