Build the tests in Release, too

With CMAKE_BUILD_TYPE=Release, the build type of the deploy file, GCC 12 takes temporaries made of nested braces for uninitialized (-Wmaybe-uninitialized, an error here) in two places, so that only the programs could be built, not the tests. Both now fill a named object. After it all targets build in Release; the default build is as before.

--- a/tests/ReservationsTest.cpp
+++ b/tests/ReservationsTest.cpp
@@ -227,13 +227,22 @@
 
 BOOST_AUTO_TEST_CASE(ALateStartAnswerOrOneOfAnotherIncarnationIsIgnored)
 {
+    auto handleAnswer = [this](const char* attempt, UpstreamOutcome outcome, const char* incarnation, bool ended = false) {
+        UpstreamStartResult result;
+        result.upstream = UpstreamId("a");
+        result.attempt = AttemptId(attempt);
+        result.outcome = outcome;
+        result.incarnation = IncarnationId(incarnation);
+        result.ended = ended;
+        handleStartResult(state, result, now, actions);
+    };
     addUpstream("a");
     run("t1");
-    handleStartResult(state, { UpstreamId("a"), AttemptId("t1"), UpstreamOutcome::Refused, false, {}, IncarnationId("life-1") }, now, actions);
-    handleStartResult(state, { UpstreamId("a"), AttemptId("nobody"), UpstreamOutcome::Ok, false, {}, IncarnationId("life-1") }, now, actions);
+    handleAnswer("t1", UpstreamOutcome::Refused, "life-1");
+    handleAnswer("nobody", UpstreamOutcome::Ok, "life-1");
     BOOST_TEST(attempt("t1")->phase == AttemptPhase::Running);
     start(makeStart(reserve("t2").at(0)));
-    handleStartResult(state, { UpstreamId("a"), AttemptId("t2"), UpstreamOutcome::Ok, true, {}, IncarnationId("life-0") }, now, actions);
+    handleAnswer("t2", UpstreamOutcome::Ok, "life-0", true);
     BOOST_TEST(attempt("t2")->phase == AttemptPhase::Starting);
     BOOST_TEST(state.counters.get("ignored_answers_total{kind=\"start\"}") == 3);
 }
--- a/tests/support/UpstreamServer.cpp
+++ b/tests/support/UpstreamServer.cpp
@@ -108,7 +108,10 @@
 void UpstreamServer::Impl::startSession(Tcp::socket socket)
 {
     if (m_sessions.size() >= m_connections) {
-        log({ "overcommit", {}, "connections", {} });
+        UpstreamModelEvent event;
+        event.name = "overcommit";
+        event.reason = "connections";
+        log(event);
         return;
     }
     ErrorCondition ec;
