--- a/tests/CellAttemptsTest.cpp
+++ b/tests/CellAttemptsTest.cpp
@@ -19,37 +19,31 @@
 // An owner that had read no configuration yet failed a job after one attempt.
 BOOST_AUTO_TEST_CASE(OwnerWithoutConfigurationFailsAJob)
 {
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CellFixture cell(makeSettings(seed, 1));
-            cell.emulator.submit(jobId(1), makeJob(makeScript(1200, kAttempts - 1), { makeStep(1, 1000) }), 0);
-            cell.emulator.runFor(std::chrono::milliseconds(1000));
-            BOOST_REQUIRE_EQUAL(cell.startsOf(1), 1);
-            cell.emulator.setTransferTime(std::chrono::seconds(4));
-            cell.emulator.restart(0);
-            BOOST_TEST(cell.waitFor(1, JobState::Completed, std::chrono::seconds(25), 0));
-            BOOST_TEST(cell.startsOf(1) == kAttempts);
-            cell.checkRules();
-        }
-    }
+    forEachSeed(8, [&](std::uint64_t seed) {
+        CellFixture cell(makeSettings(seed, 1));
+        cell.emulator.submit(jobId(1), makeJob(makeScript(1200, kAttempts - 1), { makeStep(1, 1000) }), 0);
+        cell.emulator.runFor(std::chrono::milliseconds(1000));
+        BOOST_REQUIRE_EQUAL(cell.startsOf(1), 1);
+        cell.emulator.setTransferTime(std::chrono::seconds(4));
+        cell.emulator.restart(0);
+        BOOST_TEST(cell.waitFor(1, JobState::Completed, std::chrono::seconds(25), 0));
+        BOOST_TEST(cell.startsOf(1) == kAttempts);
+        cell.checkRules();
+    });
 }
 
 // An instance that had read no configuration acquired the cell, and could decide nothing.
 BOOST_AUTO_TEST_CASE(InstanceWithoutConfigurationAcquiresTheCell)
 {
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CellFixture cell(makeSettings(seed, 3));
-            CellEmulator& emulator = cell.emulator;
-            emulator.setTransferTime(std::chrono::seconds(4));
-            for (std::size_t n = 0; n < 3; ++n)
-                emulator.restart(n);
-            BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(15), [&] { return emulator.owner().has_value(); }));
-            BOOST_TEST((emulator.core(*emulator.owner()).configuration.value != nullptr));
-        }
-    }
+    forEachSeed(8, [&](std::uint64_t seed) {
+        CellFixture cell(makeSettings(seed, 3));
+        CellEmulator& emulator = cell.emulator;
+        emulator.setTransferTime(std::chrono::seconds(4));
+        for (std::size_t n = 0; n < 3; ++n)
+            emulator.restart(n);
+        BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(15), [&] { return emulator.owner().has_value(); }));
+        BOOST_TEST((emulator.core(*emulator.owner()).configuration.value != nullptr));
+    });
 }
 
 // A job whose task failed while its queue was removed was failed after one attempt.
--- a/tests/CellCapacityTest.cpp
+++ b/tests/CellCapacityTest.cpp
@@ -72,35 +72,32 @@
 // Tasks were started on an upstream that had less capacity left than they need.
 BOOST_AUTO_TEST_CASE(TasksAreStartedBeyondAShrunkenCapacity)
 {
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CapacityFixture cell(makeSettings(seed));
-            std::mt19937_64 random(seed);
-            cell.emulator.addRoute("/later/", 2);
-            StepSpec resumable = makeStep(6, 1500);
-            resumable.checkpoints = true;
-            StepSpec gang = makeStep(3, 2500);
-            gang.gang = true;
-            for (int n = 1; n <= 60; ++n) {
-                const StepSpec step = n % 5 == 0 ? gang : n % 2 == 0 ? resumable
-                                                                     : makeStep(4, 900);
-                TaskScript script = makeScript(400 + static_cast<std::int64_t>(random() % 2500));
-                script.saves = step.checkpoints;
-                cell.emulator.submit(jobId(n), makeJob(script, { step }), cell.other(), std::chrono::seconds(3), step.checkpoints ? "/later/" : "/jobs/");
-                if (n % 3 == 0) {
-                    std::int64_t share = static_cast<std::int64_t>(random() % 5);
-                    cell.setCapacity("u" + std::to_string(random() % 6), { share * 2000, share * 4000, 0, 0 });
-                }
-                if (n == 30)
-                    cell.emulator.restart(cell.owner());
-                cell.emulator.runFor(std::chrono::milliseconds(static_cast<std::int64_t>(random() % 900)));
+    forEachSeed(10, [&](std::uint64_t seed) {
+        CapacityFixture cell(makeSettings(seed));
+        std::mt19937_64 random(seed);
+        cell.emulator.addRoute("/later/", 2);
+        StepSpec resumable = makeStep(6, 1500);
+        resumable.checkpoints = true;
+        StepSpec gang = makeStep(3, 2500);
+        gang.gang = true;
+        for (int n = 1; n <= 60; ++n) {
+            const StepSpec step = n % 5 == 0 ? gang : n % 2 == 0 ? resumable
+                                                                 : makeStep(4, 900);
+            TaskScript script = makeScript(400 + static_cast<std::int64_t>(random() % 2500));
+            script.saves = step.checkpoints;
+            cell.emulator.submit(jobId(n), makeJob(script, { step }), cell.other(), std::chrono::seconds(3), step.checkpoints ? "/later/" : "/jobs/");
+            if (n % 3 == 0) {
+                std::int64_t share = static_cast<std::int64_t>(random() % 5);
+                cell.setCapacity("u" + std::to_string(random() % 6), { share * 2000, share * 4000, 0, 0 });
             }
-            cell.emulator.runFor(std::chrono::seconds(10));
-            cell.checkCapacities();
-            cell.checkAccounting();
+            if (n == 30)
+                cell.emulator.restart(cell.owner());
+            cell.emulator.runFor(std::chrono::milliseconds(static_cast<std::int64_t>(random() % 900)));
         }
-    }
+        cell.emulator.runFor(std::chrono::seconds(10));
+        cell.checkCapacities();
+        cell.checkAccounting();
+    });
 }
 
 // Capacity that had grown again was used late, since nothing asked for a placement pass.
--- a/tests/CellCrashTest.cpp
+++ b/tests/CellCrashTest.cpp
@@ -52,73 +52,64 @@
 // What was known of the crashes was lost with the owner.
 BOOST_AUTO_TEST_CASE(CrashesAreForgottenByTheNextOwner)
 {
-    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CellFixture cell(makeSettings(seed, std::chrono::milliseconds(3500)));
-            cell.emulator.submit(jobId(1), makeJob(deadlyScript(), { makeStep(1, 1000) }), cell.other());
-            BOOST_REQUIRE(cell.emulator.runUntil(std::chrono::seconds(20), [&] { return cell.startsOf(1) == 2; }));
-            cell.emulator.restart(cell.owner());
-            cell.emulator.runFor(std::chrono::seconds(60));
-            BOOST_TEST(cell.startsOf(1) <= kMostStarts);
-            BOOST_TEST(cell.isIn(1, cell::JobState::Failed, cell.owner()));
-        }
-    }
+    forEachSeed(4, [&](std::uint64_t seed) {
+        CellFixture cell(makeSettings(seed, std::chrono::milliseconds(3500)));
+        cell.emulator.submit(jobId(1), makeJob(deadlyScript(), { makeStep(1, 1000) }), cell.other());
+        BOOST_REQUIRE(cell.emulator.runUntil(std::chrono::seconds(20), [&] { return cell.startsOf(1) == 2; }));
+        cell.emulator.restart(cell.owner());
+        cell.emulator.runFor(std::chrono::seconds(60));
+        BOOST_TEST(cell.startsOf(1) <= kMostStarts);
+        BOOST_TEST(cell.isIn(1, cell::JobState::Failed, cell.owner()));
+    });
 }
 
 // A job whose upstream was crashed by others was given up.
 BOOST_AUTO_TEST_CASE(NeighbourOfADeadlyTaskFails)
 {
-    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CellFixture cell(makeSettings(seed, std::chrono::milliseconds(3500)));
-            for (int n = 100; n < 112; ++n)
-                cell.emulator.submit(jobId(n), makeJob(makeScript(6000), { makeStep(4, 1000) }), cell.other());
-            cell.emulator.runFor(std::chrono::milliseconds(1500));
-            cell.emulator.submit(jobId(1), makeJob(deadlyScript(), { makeStep(1, 1000) }), cell.other());
-            cell.emulator.runFor(std::chrono::seconds(60));
-            for (int n = 100; n < 112; ++n)
-                BOOST_TEST(cell.isIn(n, cell::JobState::Completed, cell.owner()));
-            BOOST_TEST(cell.isIn(1, cell::JobState::Failed, cell.owner()));
-        }
-    }
+    forEachSeed(4, [&](std::uint64_t seed) {
+        CellFixture cell(makeSettings(seed, std::chrono::milliseconds(3500)));
+        for (int n = 100; n < 112; ++n)
+            cell.emulator.submit(jobId(n), makeJob(makeScript(6000), { makeStep(4, 1000) }), cell.other());
+        cell.emulator.runFor(std::chrono::milliseconds(1500));
+        cell.emulator.submit(jobId(1), makeJob(deadlyScript(), { makeStep(1, 1000) }), cell.other());
+        cell.emulator.runFor(std::chrono::seconds(60));
+        for (int n = 100; n < 112; ++n)
+            BOOST_TEST(cell.isIn(n, cell::JobState::Completed, cell.owner()));
+        BOOST_TEST(cell.isIn(1, cell::JobState::Failed, cell.owner()));
+    });
 }
 
 // Each start was ordered on an upstream that was dead already, which counted as a crash under the task, and the job was
 // given up.
 BOOST_AUTO_TEST_CASE(OrdersToDeadUpstreamsCountAsCrashes)
 {
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings = makeSettings(seed, std::chrono::milliseconds(3500));
-            settings.upstreams = 2;
-            CellFixture cell(settings);
-            CellEmulator& emulator = cell.emulator;
-            emulator.submit(jobId(2), makeJob(makeScript(60000), { makeStep(1, 8000) }), cell.other());
-            emulator.runFor(std::chrono::seconds(1));
-            std::string dead = emulator.history().front().upstream == "u0" ? "u1" : "u0";
-            emulator.cutUpstream(dead, true);
-            emulator.submit(jobId(1), makeJob(makeScript(500), { makeStep(1, 8000) }), cell.other());
-            for (int round = 0; round < 3; ++round) {
-                emulator.runFor(std::chrono::milliseconds(2500));
-                // It comes back and drains, so that the task waits until it is dead again.
-                emulator.drainUpstream(dead, true);
-                emulator.crashUpstream(dead);
-                emulator.cutUpstream(dead, false);
-                emulator.runFor(std::chrono::milliseconds(1500));
-                emulator.cutUpstream(dead, true);
-                emulator.drainUpstream(dead, false);
-            }
+    forEachSeed(8, [&](std::uint64_t seed) {
+        EmulatorSettings settings = makeSettings(seed, std::chrono::milliseconds(3500));
+        settings.upstreams = 2;
+        CellFixture cell(settings);
+        CellEmulator& emulator = cell.emulator;
+        emulator.submit(jobId(2), makeJob(makeScript(60000), { makeStep(1, 8000) }), cell.other());
+        emulator.runFor(std::chrono::seconds(1));
+        std::string dead = emulator.history().front().upstream == "u0" ? "u1" : "u0";
+        emulator.cutUpstream(dead, true);
+        emulator.submit(jobId(1), makeJob(makeScript(500), { makeStep(1, 8000) }), cell.other());
+        for (int round = 0; round < 3; ++round) {
             emulator.runFor(std::chrono::milliseconds(2500));
+            // It comes back and drains, so that the task waits until it is dead again.
+            emulator.drainUpstream(dead, true);
             emulator.crashUpstream(dead);
             emulator.cutUpstream(dead, false);
-            BOOST_TEST(cell.waitFor(1, cell::JobState::Completed, std::chrono::seconds(15), cell.owner()));
-            cell.checkRules();
-            cell.checkAccounting();
+            emulator.runFor(std::chrono::milliseconds(1500));
+            emulator.cutUpstream(dead, true);
+            emulator.drainUpstream(dead, false);
         }
-    }
+        emulator.runFor(std::chrono::milliseconds(2500));
+        emulator.crashUpstream(dead);
+        emulator.cutUpstream(dead, false);
+        BOOST_TEST(cell.waitFor(1, cell::JobState::Completed, std::chrono::seconds(15), cell.owner()));
+        cell.checkRules();
+        cell.checkAccounting();
+    });
 }
 
 // A long-running job failed after its upstreams had restarted a few times.
@@ -140,26 +131,23 @@
 // A start without an answer was repeated to an upstream whose restart no later owner could have learnt of.
 BOOST_AUTO_TEST_CASE(RepeatedStartReachesAnUpstreamThatNoRecordNames)
 {
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            settings.upstreams = 1;
-            CellFixture cell(settings);
-            cell.emulator.cutUpstream("u0", true);
-            cell.emulator.submit(jobId(1), makeJob(makeScript(300), { makeStep(1, 1000) }), cell.other());
-            cell.emulator.runFor(std::chrono::milliseconds(300));
-            cell.emulator.setStoreDown(true);
-            cell.emulator.crashUpstream("u0");
-            cell.emulator.cutUpstream("u0", false);
-            cell.emulator.runFor(std::chrono::milliseconds(1500));
-            BOOST_TEST(cell.emulator.history().empty());
-            cell.emulator.setStoreDown(false);
-            BOOST_TEST(cell.waitFor(1, cell::JobState::Completed, std::chrono::seconds(15), cell.owner()));
-            cell.checkRules();
-        }
-    }
+    forEachSeed(8, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        settings.upstreams = 1;
+        CellFixture cell(settings);
+        cell.emulator.cutUpstream("u0", true);
+        cell.emulator.submit(jobId(1), makeJob(makeScript(300), { makeStep(1, 1000) }), cell.other());
+        cell.emulator.runFor(std::chrono::milliseconds(300));
+        cell.emulator.setStoreDown(true);
+        cell.emulator.crashUpstream("u0");
+        cell.emulator.cutUpstream("u0", false);
+        cell.emulator.runFor(std::chrono::milliseconds(1500));
+        BOOST_TEST(cell.emulator.history().empty());
+        cell.emulator.setStoreDown(false);
+        BOOST_TEST(cell.waitFor(1, cell::JobState::Completed, std::chrono::seconds(15), cell.owner()));
+        cell.checkRules();
+    });
 }
 
 /// From the first order until the upstream is back, in steps around the time after which the order is repeated.
@@ -170,23 +158,20 @@
 // A start without an answer was repeated to a restarted upstream before a poll could tell of the restart.
 BOOST_AUTO_TEST_CASE(RepeatedStartOvertakesThePollThatTellsOfTheRestart)
 {
-    for (std::uint64_t seed = 1; seed <= kDelays; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            settings.upstreams = 1;
-            CellFixture cell(settings);
-            cell.emulator.cutUpstream("u0", true);
-            cell.emulator.submit(jobId(1), makeJob(makeScript(300), { makeStep(1, 1000) }), cell.other());
-            cell.emulator.runFor(std::chrono::milliseconds(kShortestDelayMs + kDelayStepMs * static_cast<std::int64_t>(seed)));
-            cell.emulator.setStoreDown(true);
-            cell.emulator.crashUpstream("u0");
-            cell.emulator.cutUpstream("u0", false);
-            cell.emulator.runFor(std::chrono::milliseconds(1200));
-            BOOST_TEST(cell.emulator.history().empty());
-        }
-    }
+    forEachSeed(kDelays, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        settings.upstreams = 1;
+        CellFixture cell(settings);
+        cell.emulator.cutUpstream("u0", true);
+        cell.emulator.submit(jobId(1), makeJob(makeScript(300), { makeStep(1, 1000) }), cell.other());
+        cell.emulator.runFor(std::chrono::milliseconds(kShortestDelayMs + kDelayStepMs * static_cast<std::int64_t>(seed)));
+        cell.emulator.setStoreDown(true);
+        cell.emulator.crashUpstream("u0");
+        cell.emulator.cutUpstream("u0", false);
+        cell.emulator.runFor(std::chrono::milliseconds(1200));
+        BOOST_TEST(cell.emulator.history().empty());
+    });
 }
 
 // A working upstream was taken for one that has ended, and its tasks were started again elsewhere.
--- a/tests/CellCutTest.cpp
+++ b/tests/CellCutTest.cpp
@@ -44,43 +44,37 @@
 // The former owner took leases for expired that its successor renewed, and started the tasks again on its side of the cut.
 BOOST_AUTO_TEST_CASE(CutOffOwnerStartsTasksThatItsSuccessorKeeps)
 {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CutFixture fixture(seed);
-            CellEmulator& emulator = fixture.emulator;
-            std::size_t former = fixture.owner();
-            std::string domain = emulator.domainOf(former);
-            emulator.cutDomain(domain, true);
-            fixture.awaitSuccessor(former);
-            emulator.runFor(std::chrono::seconds(20));
-            emulator.cutDomain(domain, false);
-            emulator.runFor(std::chrono::seconds(10));
-            fixture.checkRules();
-        }
-    }
+    forEachSeed(kSeeds, [&](std::uint64_t seed) {
+        CutFixture fixture(seed);
+        CellEmulator& emulator = fixture.emulator;
+        std::size_t former = fixture.owner();
+        std::string domain = emulator.domainOf(former);
+        emulator.cutDomain(domain, true);
+        fixture.awaitSuccessor(former);
+        emulator.runFor(std::chrono::seconds(20));
+        emulator.cutDomain(domain, false);
+        emulator.runFor(std::chrono::seconds(10));
+        fixture.checkRules();
+    });
 }
 
 // The same, by an owner that had been waiting for the leases of its predecessor's runs when it was cut off itself.
 BOOST_AUTO_TEST_CASE(CutOffSuccessorStartsTasksThatTheThirdOwnerKeeps)
 {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CutFixture fixture(seed);
-            CellEmulator& emulator = fixture.emulator;
-            std::size_t first = fixture.owner();
-            emulator.cutDomain(emulator.domainOf(first), true);
-            std::size_t second = fixture.awaitSuccessor(first);
-            emulator.runFor(std::chrono::milliseconds(6300));
-            emulator.cutDomain(emulator.domainOf(second), true);
-            emulator.cutDomain(emulator.domainOf(first), false);
-            emulator.runFor(std::chrono::seconds(20));
-            emulator.cutDomain(emulator.domainOf(second), false);
-            emulator.runFor(std::chrono::seconds(10));
-            fixture.checkRules();
-        }
-    }
+    forEachSeed(kSeeds, [&](std::uint64_t seed) {
+        CutFixture fixture(seed);
+        CellEmulator& emulator = fixture.emulator;
+        std::size_t first = fixture.owner();
+        emulator.cutDomain(emulator.domainOf(first), true);
+        std::size_t second = fixture.awaitSuccessor(first);
+        emulator.runFor(std::chrono::milliseconds(6300));
+        emulator.cutDomain(emulator.domainOf(second), true);
+        emulator.cutDomain(emulator.domainOf(first), false);
+        emulator.runFor(std::chrono::seconds(20));
+        emulator.cutDomain(emulator.domainOf(second), false);
+        emulator.runFor(std::chrono::seconds(10));
+        fixture.checkRules();
+    });
 }
 
 /// A task that runs on one upstream, and another upstream that may run it a second time, as after issue 40.
@@ -127,28 +121,22 @@
 // The end of a run with a higher number put its task back to waiting, and it was started again beside the run that went on.
 BOOST_AUTO_TEST_CASE(EndOfALaterRunStartsATaskThatStillRuns)
 {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            StrayRunFixture fixture(seed);
-            fixture.startStray(makeScript(12000));
-            fixture.expectNoOtherRun();
-        }
-    }
+    forEachSeed(kSeeds, [&](std::uint64_t seed) {
+        StrayRunFixture fixture(seed);
+        fixture.startStray(makeScript(12000));
+        fixture.expectNoOtherRun();
+    });
 }
 
 // The same for a successor, which hears of the end before it hears of the run that goes on, or after.
 BOOST_AUTO_TEST_CASE(SuccessorStartsATaskThatStillRuns)
 {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            StrayRunFixture fixture(seed);
-            fixture.startStray(makeScript(1, 1));
-            fixture.killOwner();
-            fixture.expectNoOtherRun();
-        }
-    }
+    forEachSeed(kSeeds, [&](std::uint64_t seed) {
+        StrayRunFixture fixture(seed);
+        fixture.startStray(makeScript(1, 1));
+        fixture.killOwner();
+        fixture.expectNoOtherRun();
+    });
 }
 
 BOOST_AUTO_TEST_CASE(DoneEndOfALaterRunCounts)
@@ -193,53 +181,44 @@
 
 BOOST_AUTO_TEST_CASE(FrozenOwnersBreakNoRule)
 {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            playFrozenOwners(CutFixture::makeSettings(seed));
-            playFrozenOwners(makeBusySettings(seed));
-        }
-    }
+    forEachSeed(kSeeds, [&](std::uint64_t seed) {
+        playFrozenOwners(CutFixture::makeSettings(seed));
+        playFrozenOwners(makeBusySettings(seed));
+    });
 }
 
 BOOST_AUTO_TEST_CASE(FrozenOwnersWithDelegatesBreakNoRule)
 {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings = makeBusySettings(seed);
-            settings.pollCost = std::chrono::milliseconds(50);
-            playFrozenOwners(settings);
-        }
-    }
+    forEachSeed(kSeeds, [&](std::uint64_t seed) {
+        EmulatorSettings settings = makeBusySettings(seed);
+        settings.pollCost = std::chrono::milliseconds(50);
+        playFrozenOwners(settings);
+    });
 }
 
 // Each owner's domain is cut off in turn, both ways or as a sender only.
 BOOST_AUTO_TEST_CASE(CutsInSeriesBreakNoRule)
 {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CellFixture cell(makeBusySettings(seed));
-            submitJobs(cell);
-            std::mt19937_64 random(seed);
-            for (int n = 0; n < 3; ++n) {
-                std::string domain = cell.emulator.domainOf(cell.owner());
-                bool isOneWay = random() % 2 == 0;
-                if (isOneWay)
-                    cell.emulator.muteDomain(domain, true);
-                else
-                    cell.emulator.cutDomain(domain, true);
-                cell.emulator.runFor(fromMilliseconds(3000 + static_cast<std::int64_t>(random() % 6000)));
-                cell.emulator.muteDomain(domain, false);
-                cell.emulator.cutDomain(domain, false);
-                cell.emulator.runFor(fromMilliseconds(static_cast<std::int64_t>(random() % 1500)));
-            }
-            cell.emulator.runFor(std::chrono::seconds(10));
-            BOOST_TEST(cell.emulator.core(cell.owner()).ownership.token > 1);
-            cell.checkRules();
+    forEachSeed(kSeeds, [&](std::uint64_t seed) {
+        CellFixture cell(makeBusySettings(seed));
+        submitJobs(cell);
+        std::mt19937_64 random(seed);
+        for (int n = 0; n < 3; ++n) {
+            std::string domain = cell.emulator.domainOf(cell.owner());
+            bool isOneWay = random() % 2 == 0;
+            if (isOneWay)
+                cell.emulator.muteDomain(domain, true);
+            else
+                cell.emulator.cutDomain(domain, true);
+            cell.emulator.runFor(fromMilliseconds(3000 + static_cast<std::int64_t>(random() % 6000)));
+            cell.emulator.muteDomain(domain, false);
+            cell.emulator.cutDomain(domain, false);
+            cell.emulator.runFor(fromMilliseconds(static_cast<std::int64_t>(random() % 1500)));
         }
-    }
+        cell.emulator.runFor(std::chrono::seconds(10));
+        BOOST_TEST(cell.emulator.core(cell.owner()).ownership.token > 1);
+        cell.checkRules();
+    });
 }
 
 // A former owner without the store took the restart of an upstream for the end of runs that its successor had seen end as done.
--- a/tests/CellDelegationTest.cpp
+++ b/tests/CellDelegationTest.cpp
@@ -43,27 +43,24 @@
 // Calls in flight at a delegate that dies have no answer; its upstreams get another delegate.
 BOOST_AUTO_TEST_CASE(RunsAreLostWithTheirDelegate)
 {
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            CellFixture cell(manyUpstreams(seed));
-            for (int n = 1; n <= 10; ++n)
-                cell.emulator.submit(jobId(n), makeJob(makeScript(6000), { makeStep(10, 1000) }), cell.owner());
-            cell.emulator.runFor(std::chrono::milliseconds(300));
-            for (int n = 0; n < 3; ++n) {
-                cell.emulator.kill(cell.other());
-                cell.emulator.runFor(std::chrono::milliseconds(2000));
-                cell.emulator.restart(cell.other());
-                cell.emulator.runFor(std::chrono::milliseconds(500));
-            }
-            for (int n = 1; n <= 10; ++n)
-                BOOST_TEST(cell.waitFor(n, cell::JobState::Completed, std::chrono::seconds(10), cell.owner()));
-            for (int n = 1; n <= 10; ++n)
-                BOOST_TEST(cell.startsOf(n) == 10);
-            cell.checkRules();
-            cell.checkAccounting();
+    forEachSeed(10, [&](std::uint64_t seed) {
+        CellFixture cell(manyUpstreams(seed));
+        for (int n = 1; n <= 10; ++n)
+            cell.emulator.submit(jobId(n), makeJob(makeScript(6000), { makeStep(10, 1000) }), cell.owner());
+        cell.emulator.runFor(std::chrono::milliseconds(300));
+        for (int n = 0; n < 3; ++n) {
+            cell.emulator.kill(cell.other());
+            cell.emulator.runFor(std::chrono::milliseconds(2000));
+            cell.emulator.restart(cell.other());
+            cell.emulator.runFor(std::chrono::milliseconds(500));
         }
-    }
+        for (int n = 1; n <= 10; ++n)
+            BOOST_TEST(cell.waitFor(n, cell::JobState::Completed, std::chrono::seconds(10), cell.owner()));
+        for (int n = 1; n <= 10; ++n)
+            BOOST_TEST(cell.startsOf(n) == 10);
+        cell.checkRules();
+        cell.checkAccounting();
+    });
 }
 
 // Calls that a delegate took while it was shutting down were lost with it.
@@ -135,24 +132,21 @@
 {
     constexpr int kJobs = 10;
     constexpr int kTasks = 10;
-    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings = manyUpstreams(seed);
-            settings.upstreams = 70; // For more than one delegate.
-            CellFixture cell(settings);
-            for (int n = 1; n <= kJobs; ++n)
-                cell.emulator.submit(jobId(n), makeJob(makeScript(15000), { makeStep(kTasks, 1000) }), cell.owner());
-            cell.emulator.runFor(std::chrono::seconds(1));
-            for (const std::string& id : cell.emulator.upstreamIds())
-                cell.emulator.cutPath(cell.other(), id);
-            for (int n = 1; n <= kJobs; ++n) {
-                BOOST_TEST(cell.waitFor(n, cell::JobState::Completed, std::chrono::seconds(20), cell.owner()));
-                BOOST_TEST(cell.startsOf(n) == kTasks);
-            }
-            cell.checkRules();
+    forEachSeed(5, [&](std::uint64_t seed) {
+        EmulatorSettings settings = manyUpstreams(seed);
+        settings.upstreams = 70; // For more than one delegate.
+        CellFixture cell(settings);
+        for (int n = 1; n <= kJobs; ++n)
+            cell.emulator.submit(jobId(n), makeJob(makeScript(15000), { makeStep(kTasks, 1000) }), cell.owner());
+        cell.emulator.runFor(std::chrono::seconds(1));
+        for (const std::string& id : cell.emulator.upstreamIds())
+            cell.emulator.cutPath(cell.other(), id);
+        for (int n = 1; n <= kJobs; ++n) {
+            BOOST_TEST(cell.waitFor(n, cell::JobState::Completed, std::chrono::seconds(20), cell.owner()));
+            BOOST_TEST(cell.startsOf(n) == kTasks);
         }
-    }
+        cell.checkRules();
+    });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/CellFixture.h
+++ b/tests/CellFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,18 @@
 
 inline TaskScript makeScript(std::int64_t ms, int failures = 0) { return { fromMilliseconds(ms), failures, 0 }; }
 
+/// Plays the same on seeds 1 to `count`. Failed checks name their seed.
+template <typename Play>
+void forEachSeed(std::uint64_t count, const Play& play)
+{
+    for (std::uint64_t seed = 1; seed <= count; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            play(seed);
+        }
+    }
+}
+
 /// A cell that has an owner.
 struct CellFixture {
     explicit CellFixture(const EmulatorSettings& emulatorSettings = {})
--- a/tests/CellOwnershipTest.cpp
+++ b/tests/CellOwnershipTest.cpp
@@ -18,29 +18,26 @@
 // still count as exactly one attempt.
 BOOST_AUTO_TEST_CASE(AttemptsAreCountedOnceAcrossOwnerChange)
 {
-    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            CellFixture fixture(settings);
-            // The owner receives run ends that it cannot store.
-            for (int n = 1; n <= 10; ++n)
-                fixture.emulator.submit(jobId(n), makeJob(makeScript(150, n % 2 == 0 ? 2 : 99), { makeStep(1, 1000) }), fixture.owner());
-            fixture.emulator.runFor(std::chrono::milliseconds(100 + 40 * static_cast<std::int64_t>(seed)));
-            std::size_t former = fixture.owner();
-            fixture.emulator.setStoreDown(true);
-            fixture.emulator.runFor(std::chrono::milliseconds(400));
-            fixture.emulator.kill(former);
-            fixture.emulator.setStoreDown(false);
-            BOOST_REQUIRE(fixture.emulator.runUntil(std::chrono::seconds(6), [&] { return fixture.emulator.owner().has_value(); }));
-            for (int n = 1; n <= 10; ++n)
-                BOOST_CHECK(fixture.waitFor(n, n % 2 == 0 ? JobState::Completed : JobState::Failed, std::chrono::seconds(20), fixture.owner()));
-            for (int n = 1; n <= 10; ++n)
-                BOOST_CHECK_EQUAL(fixture.startsOf(n), 3);
-            fixture.checkRules();
-        }
-    }
+    forEachSeed(12, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        CellFixture fixture(settings);
+        // The owner receives run ends that it cannot store.
+        for (int n = 1; n <= 10; ++n)
+            fixture.emulator.submit(jobId(n), makeJob(makeScript(150, n % 2 == 0 ? 2 : 99), { makeStep(1, 1000) }), fixture.owner());
+        fixture.emulator.runFor(std::chrono::milliseconds(100 + 40 * static_cast<std::int64_t>(seed)));
+        std::size_t former = fixture.owner();
+        fixture.emulator.setStoreDown(true);
+        fixture.emulator.runFor(std::chrono::milliseconds(400));
+        fixture.emulator.kill(former);
+        fixture.emulator.setStoreDown(false);
+        BOOST_REQUIRE(fixture.emulator.runUntil(std::chrono::seconds(6), [&] { return fixture.emulator.owner().has_value(); }));
+        for (int n = 1; n <= 10; ++n)
+            BOOST_CHECK(fixture.waitFor(n, n % 2 == 0 ? JobState::Completed : JobState::Failed, std::chrono::seconds(20), fixture.owner()));
+        for (int n = 1; n <= 10; ++n)
+            BOOST_CHECK_EQUAL(fixture.startsOf(n), 3);
+        fixture.checkRules();
+    });
 }
 
 BOOST_FIXTURE_TEST_CASE(RunsContinueAcrossOwnerChange, CellFixture)
@@ -80,62 +77,56 @@
 // After all leases had lapsed, or all processes were killed, a small instance acquired the cell and was overloaded.
 BOOST_AUTO_TEST_CASE(SmallInstanceOwnsCellAfterOutage)
 {
-    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.instances = 9;
-            settings.largeInstances = 1;
-            settings.seed = seed;
-            CellFixture fixture(settings);
-            CellEmulator& emulator = fixture.emulator;
-            BOOST_REQUIRE_EQUAL(fixture.owner(), 0u);
-            emulator.setStoreDown(true);
-            emulator.runFor(std::chrono::seconds(5));
-            emulator.setStoreDown(false);
-            emulator.runFor(std::chrono::seconds(3));
-            BOOST_CHECK_EQUAL(fixture.owner(), 0u);
-            for (std::size_t n = 0; n < 9; ++n)
-                emulator.kill(n);
-            emulator.runFor(std::chrono::seconds(2));
-            for (std::size_t n = 9; n-- > 0;)
-                emulator.restart(n);
-            emulator.runFor(std::chrono::seconds(3));
-            BOOST_CHECK_EQUAL(fixture.owner(), 0u);
-        }
-    }
+    forEachSeed(12, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.instances = 9;
+        settings.largeInstances = 1;
+        settings.seed = seed;
+        CellFixture fixture(settings);
+        CellEmulator& emulator = fixture.emulator;
+        BOOST_REQUIRE_EQUAL(fixture.owner(), 0u);
+        emulator.setStoreDown(true);
+        emulator.runFor(std::chrono::seconds(5));
+        emulator.setStoreDown(false);
+        emulator.runFor(std::chrono::seconds(3));
+        BOOST_CHECK_EQUAL(fixture.owner(), 0u);
+        for (std::size_t n = 0; n < 9; ++n)
+            emulator.kill(n);
+        emulator.runFor(std::chrono::seconds(2));
+        for (std::size_t n = 9; n-- > 0;)
+            emulator.restart(n);
+        emulator.runFor(std::chrono::seconds(3));
+        BOOST_CHECK_EQUAL(fixture.owner(), 0u);
+    });
 }
 
 // A small instance that had acquired the cell while the larger ones were away kept it, and was overloaded.
 BOOST_AUTO_TEST_CASE(SmallInstanceKeepsCellAfterLargerOnesReturn)
 {
-    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.instances = 9;
-            settings.largeInstances = 2;
-            settings.seed = seed;
-            CellFixture fixture(settings);
-            CellEmulator& emulator = fixture.emulator;
-            emulator.kill(0);
-            emulator.kill(1);
-            BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(6), [&] { return emulator.owner().has_value(); }));
-            BOOST_REQUIRE_GE(fixture.owner(), 2u);
-            constexpr int kJobs = 10;
-            for (int n = 1; n <= kJobs; ++n)
-                emulator.submit(jobId(n), makeJob(makeScript(3000), { makeStep(2, 1000) }), 8);
-            emulator.runFor(std::chrono::seconds(1));
-            emulator.restart(0);
-            emulator.runFor(std::chrono::seconds(6));
-            BOOST_CHECK_EQUAL(fixture.owner(), 0u);
-            for (int n = 1; n <= kJobs; ++n) {
-                BOOST_CHECK(fixture.waitFor(n, JobState::Completed, std::chrono::seconds(3), 8));
-                BOOST_CHECK_EQUAL(fixture.startsOf(n), 2);
-            }
-            fixture.checkRules();
+    forEachSeed(6, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.instances = 9;
+        settings.largeInstances = 2;
+        settings.seed = seed;
+        CellFixture fixture(settings);
+        CellEmulator& emulator = fixture.emulator;
+        emulator.kill(0);
+        emulator.kill(1);
+        BOOST_REQUIRE(emulator.runUntil(std::chrono::seconds(6), [&] { return emulator.owner().has_value(); }));
+        BOOST_REQUIRE_GE(fixture.owner(), 2u);
+        constexpr int kJobs = 10;
+        for (int n = 1; n <= kJobs; ++n)
+            emulator.submit(jobId(n), makeJob(makeScript(3000), { makeStep(2, 1000) }), 8);
+        emulator.runFor(std::chrono::seconds(1));
+        emulator.restart(0);
+        emulator.runFor(std::chrono::seconds(6));
+        BOOST_CHECK_EQUAL(fixture.owner(), 0u);
+        for (int n = 1; n <= kJobs; ++n) {
+            BOOST_CHECK(fixture.waitFor(n, JobState::Completed, std::chrono::seconds(3), 8));
+            BOOST_CHECK_EQUAL(fixture.startsOf(n), 2);
         }
-    }
+        fixture.checkRules();
+    });
 }
 
 // All processes are restarted at once. The cell must get an owner before the lease of the previous
--- a/tests/CellPlacementTest.cpp
+++ b/tests/CellPlacementTest.cpp
@@ -184,35 +184,32 @@
 // A long-running task that failed counted as too late to be of use, and got no advice while other jobs came.
 BOOST_AUTO_TEST_CASE(LongRunningTaskGetsNoAdviceWhileItIsScarce)
 {
-    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.upstreams = 8;
-            settings.goodAdvice = 45;
-            settings.seed = seed;
-            CellFixture cell(settings);
-            CellEmulator& emulator = cell.emulator;
-            // Three instances give advice to 33 steps a second, and 40 come.
-            emulator.policy().routes.front().advice = AdviceTiming { std::chrono::milliseconds(82), std::chrono::microseconds(1200), std::chrono::milliseconds(1500) };
-            ++emulator.policy().version;
-            emulator.runFor(std::chrono::seconds(3));
-            StepSpec step = makeStep(1, 1000);
-            step.isLongRunning = true;
-            emulator.submit(jobId(1), makeJob(makeScript(15000, 1), { step }), cell.other());
-            int n = 2;
-            auto runBusily = [&](Duration duration) {
-                for (TimePoint end = emulator.now() + duration; emulator.now() < end; ++n) {
-                    emulator.submit(jobId(n), makeJob(makeScript(100), { makeStep(1, 100) }), cell.other());
-                    emulator.runFor(std::chrono::milliseconds(25));
-                }
-            };
-            emulator.runFor(std::chrono::seconds(8));
-            BOOST_REQUIRE_EQUAL(cell.startsOf(1), 1);
-            runBusily(std::chrono::seconds(16));
-            BOOST_TEST(cell.startsOf(1) == 2);
-        }
-    }
+    forEachSeed(4, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.upstreams = 8;
+        settings.goodAdvice = 45;
+        settings.seed = seed;
+        CellFixture cell(settings);
+        CellEmulator& emulator = cell.emulator;
+        // Three instances give advice to 33 steps a second, and 40 come.
+        emulator.policy().routes.front().advice = AdviceTiming { std::chrono::milliseconds(82), std::chrono::microseconds(1200), std::chrono::milliseconds(1500) };
+        ++emulator.policy().version;
+        emulator.runFor(std::chrono::seconds(3));
+        StepSpec step = makeStep(1, 1000);
+        step.isLongRunning = true;
+        emulator.submit(jobId(1), makeJob(makeScript(15000, 1), { step }), cell.other());
+        int n = 2;
+        auto runBusily = [&](Duration duration) {
+            for (TimePoint end = emulator.now() + duration; emulator.now() < end; ++n) {
+                emulator.submit(jobId(n), makeJob(makeScript(100), { makeStep(1, 100) }), cell.other());
+                emulator.runFor(std::chrono::milliseconds(25));
+            }
+        };
+        emulator.runFor(std::chrono::seconds(8));
+        BOOST_REQUIRE_EQUAL(cell.startsOf(1), 1);
+        runBusily(std::chrono::seconds(16));
+        BOOST_TEST(cell.startsOf(1) == 2);
+    });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/CellRestartTest.cpp
+++ b/tests/CellRestartTest.cpp
@@ -71,18 +71,15 @@
 static void checkStartsAfterRestart(const StepSpec& step, const std::function<void(DirectoryEntry&)>& change, std::size_t most)
 {
     constexpr Duration kObserved = std::chrono::milliseconds(kRunMs) * 2 / 3; // No run ends, and none makes room.
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            RestartFixture cell(seed);
-            cell.submitMoreThanFits(step);
-            DirectoryEntry entry = cell.entry();
-            change(entry);
-            cell.restart(entry);
-            cell.emulator.runFor(kObserved);
-            BOOST_TEST(cell.startsSinceRestart().size() <= most);
-        }
-    }
+    forEachSeed(kSeeds, [&](std::uint64_t seed) {
+        RestartFixture cell(seed);
+        cell.submitMoreThanFits(step);
+        DirectoryEntry entry = cell.entry();
+        change(entry);
+        cell.restart(entry);
+        cell.emulator.runFor(kObserved);
+        BOOST_TEST(cell.startsSinceRestart().size() <= most);
+    });
 }
 
 // review/15: tasks started on an upstream without the label that they need, which it had before it was restarted.
--- a/tests/CellScheduleTest.cpp
+++ b/tests/CellScheduleTest.cpp
@@ -69,32 +69,29 @@
 {
     constexpr int kOccurrences = 8;
     constexpr int kTasks = 3;
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            CellFixture cell(settings);
-            CellEmulator& emulator = cell.emulator;
-            JobSpec scheduled = makeScheduledJob(emulator, kOccurrences, std::chrono::seconds(1), std::chrono::milliseconds(700), makeStep(kTasks, 1000));
-            TimePoint firstDue = emulator.now() + std::chrono::seconds(1);
-            emulator.submit(jobId(1), scheduled, cell.other());
-            emulator.runFor(std::chrono::milliseconds(2500 + 100 * static_cast<int>(seed)));
-            emulator.kill(cell.owner());
-            emulator.runFor(std::chrono::seconds(1));
-            BOOST_TEST(cell.waitFor(1, JobState::Completed, std::chrono::seconds(25), cell.owner()));
-            std::set<std::string> done;
-            for (const RunRecord& run : emulator.history()) {
-                TaskKey key = *parseTaskKey(run.task);
-                BOOST_TEST((run.from >= firstDue + key.occurrence * std::chrono::milliseconds(700)));
-                if (run.how == RunEnd::Done)
-                    BOOST_TEST(done.insert(run.task).second);
-            }
-            BOOST_TEST(done.size() == kOccurrences * kTasks);
-            cell.checkRules();
-            cell.checkAccounting();
+    forEachSeed(8, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        CellFixture cell(settings);
+        CellEmulator& emulator = cell.emulator;
+        JobSpec scheduled = makeScheduledJob(emulator, kOccurrences, std::chrono::seconds(1), std::chrono::milliseconds(700), makeStep(kTasks, 1000));
+        TimePoint firstDue = emulator.now() + std::chrono::seconds(1);
+        emulator.submit(jobId(1), scheduled, cell.other());
+        emulator.runFor(std::chrono::milliseconds(2500 + 100 * static_cast<int>(seed)));
+        emulator.kill(cell.owner());
+        emulator.runFor(std::chrono::seconds(1));
+        BOOST_TEST(cell.waitFor(1, JobState::Completed, std::chrono::seconds(25), cell.owner()));
+        std::set<std::string> done;
+        for (const RunRecord& run : emulator.history()) {
+            TaskKey key = *parseTaskKey(run.task);
+            BOOST_TEST((run.from >= firstDue + key.occurrence * std::chrono::milliseconds(700)));
+            if (run.how == RunEnd::Done)
+                BOOST_TEST(done.insert(run.task).second);
         }
-    }
+        BOOST_TEST(done.size() == kOccurrences * kTasks);
+        cell.checkRules();
+        cell.checkAccounting();
+    });
 }
 
 BOOST_AUTO_TEST_CASE(ProgressRoundTrips)
--- a/tests/CellTeamLimitTest.cpp
+++ b/tests/CellTeamLimitTest.cpp
@@ -39,28 +39,25 @@
 // A new owner did not count what ran on upstreams that it had not reached, and started new jobs of the team beyond its limit.
 BOOST_AUTO_TEST_CASE(TeamExceedsItsLimitAfterATakeover)
 {
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            TeamFixture cell(settings);
-            std::size_t first = cell.owner();
-            cell.submit(1, 12, first);
-            cell.emulator.runFor(std::chrono::seconds(1));
-            BOOST_REQUIRE(cell.runningCores(cell.emulator.now()) == kLimit);
-            for (const char* id : { "u0", "u1", "u2" })
-                cell.emulator.cutUpstream(id, true);
-            cell.emulator.kill(first);
-            std::size_t second = cell.owner();
-            cell.submit(2, 12, second);
-            cell.emulator.runFor(std::chrono::seconds(14));
-            BOOST_TEST(cell.mostRunningCores() <= kLimit + kTask);
-            // The limit is used again once the earlier leases are over.
-            BOOST_TEST(cell.runningCores(cell.emulator.now()) == kLimit);
-            cell.checkAccounting();
-        }
-    }
+    forEachSeed(8, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        TeamFixture cell(settings);
+        std::size_t first = cell.owner();
+        cell.submit(1, 12, first);
+        cell.emulator.runFor(std::chrono::seconds(1));
+        BOOST_REQUIRE(cell.runningCores(cell.emulator.now()) == kLimit);
+        for (const char* id : { "u0", "u1", "u2" })
+            cell.emulator.cutUpstream(id, true);
+        cell.emulator.kill(first);
+        std::size_t second = cell.owner();
+        cell.submit(2, 12, second);
+        cell.emulator.runFor(std::chrono::seconds(14));
+        BOOST_TEST(cell.mostRunningCores() <= kLimit + kTask);
+        // The limit is used again once the earlier leases are over.
+        BOOST_TEST(cell.runningCores(cell.emulator.now()) == kLimit);
+        cell.checkAccounting();
+    });
 }
 
 // Teams that have nothing unaccounted for start at once.
--- a/tests/DeclarationsTest.cpp
+++ b/tests/DeclarationsTest.cpp
@@ -96,26 +96,23 @@
 // while the store had returned.
 BOOST_AUTO_TEST_CASE(ConfigurationStaysOldWhileAPeerThatDiedIsWaitedFor)
 {
-    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            CellFixture cell(settings);
-            std::size_t dying = cell.other();
-            cell.emulator.setStoreDown(true);
-            cell.emulator.runFor(std::chrono::milliseconds(4000));
-            cell.emulator.setStoreDown(false);
-            cell.emulator.runFor(fromMilliseconds(static_cast<std::int64_t>(20 * seed)));
-            cell.emulator.kill(dying);
-            cell.emulator.policy().version = 2;
-            cell.emulator.runFor(kInForce);
-            for (std::size_t n = 0; n < 3; ++n) {
-                if (n != dying)
-                    BOOST_TEST(cell.emulator.core(n).configuration.value->version == 2);
-            }
+    forEachSeed(30, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        CellFixture cell(settings);
+        std::size_t dying = cell.other();
+        cell.emulator.setStoreDown(true);
+        cell.emulator.runFor(std::chrono::milliseconds(4000));
+        cell.emulator.setStoreDown(false);
+        cell.emulator.runFor(fromMilliseconds(static_cast<std::int64_t>(20 * seed)));
+        cell.emulator.kill(dying);
+        cell.emulator.policy().version = 2;
+        cell.emulator.runFor(kInForce);
+        for (std::size_t n = 0; n < 3; ++n) {
+            if (n != dying)
+                BOOST_TEST(cell.emulator.core(n).configuration.value->version == 2);
         }
-    }
+    });
 }
 
 static EntryOutcome outcomeOf(CellFixture& cell, std::size_t instance, const std::string& prefix)
@@ -212,43 +209,37 @@
 
 BOOST_AUTO_TEST_CASE(LookupsGoOnWhileTheStoreIsAwayFromAllInstances)
 {
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            CellFixture cell(settings);
-            cell.emulator.submit(jobId(1), makeJob(makeScript(60000), { makeStep(1, 500) }), cell.owner());
-            cell.emulator.runFor(std::chrono::seconds(1));
-            cell.emulator.setStoreDown(true);
-            for (int n = 0; n < 45; ++n) {
-                BOOST_TEST((cell.emulator.lookUp(jobId(1), cell.owner()).outcome == EntryOutcome::State));
-                cell.emulator.runFor(std::chrono::milliseconds(100));
-            }
+    forEachSeed(8, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        CellFixture cell(settings);
+        cell.emulator.submit(jobId(1), makeJob(makeScript(60000), { makeStep(1, 500) }), cell.owner());
+        cell.emulator.runFor(std::chrono::seconds(1));
+        cell.emulator.setStoreDown(true);
+        for (int n = 0; n < 45; ++n) {
+            BOOST_TEST((cell.emulator.lookUp(jobId(1), cell.owner()).outcome == EntryOutcome::State));
+            cell.emulator.runFor(std::chrono::milliseconds(100));
         }
-    }
+    });
 }
 
 BOOST_AUTO_TEST_CASE(TasksStartWhileTheStoreIsAwayFromAllInstances)
 {
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            settings.upstreams = 1;
-            CellFixture cell(settings);
-            for (int n = 1; n <= 20; ++n)
-                cell.emulator.submit(jobId(n), makeJob(makeScript(400), { makeStep(4, 2000) }), cell.owner());
-            cell.emulator.runFor(std::chrono::seconds(1));
-            cell.emulator.setStoreDown(true);
-            cell.emulator.runFor(std::chrono::milliseconds(4500));
-            std::size_t started = cell.emulator.history().size();
-            // A round of tasks starts every 0.4 s.
-            BOOST_TEST(started >= 4U * 11U);
-            cell.checkRules();
-        }
-    }
+    forEachSeed(8, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        settings.upstreams = 1;
+        CellFixture cell(settings);
+        for (int n = 1; n <= 20; ++n)
+            cell.emulator.submit(jobId(n), makeJob(makeScript(400), { makeStep(4, 2000) }), cell.owner());
+        cell.emulator.runFor(std::chrono::seconds(1));
+        cell.emulator.setStoreDown(true);
+        cell.emulator.runFor(std::chrono::milliseconds(4500));
+        std::size_t started = cell.emulator.history().size();
+        // A round of tasks starts every 0.4 s.
+        BOOST_TEST(started >= 4U * 11U);
+        cell.checkRules();
+    });
 }
 
 static CellFixture makeCell(int instances, std::uint64_t seed)
@@ -334,29 +325,26 @@
 // The owner is the last of its fleet, and the store serves the operators but not the owner.
 BOOST_AUTO_TEST_CASE(OwnerAloneWithoutTheStoreStartsTasksOnDrainingUpstreams)
 {
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            settings.upstreams = 1;
-            CellFixture cell(settings);
-            std::size_t owner = cell.owner();
-            for (int n = 1; n <= 40; ++n)
-                cell.emulator.submit(jobId(n), makeJob(makeScript(400), { makeStep(4, 2000) }), owner);
-            cell.emulator.runFor(std::chrono::seconds(1));
-            for (std::size_t n = 0; n < 3; ++n) {
-                if (n != owner)
-                    cell.emulator.kill(n);
-            }
-            cell.emulator.blackholeStore(owner, true);
-            cell.emulator.drainUpstream("u0", true);
-            TimePoint drainedAt = cell.emulator.now();
-            cell.emulator.runFor(std::chrono::seconds(5));
-            for (const RunRecord& run : cell.emulator.history())
-                BOOST_TEST((run.from <= drainedAt + kInForce));
+    forEachSeed(8, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        settings.upstreams = 1;
+        CellFixture cell(settings);
+        std::size_t owner = cell.owner();
+        for (int n = 1; n <= 40; ++n)
+            cell.emulator.submit(jobId(n), makeJob(makeScript(400), { makeStep(4, 2000) }), owner);
+        cell.emulator.runFor(std::chrono::seconds(1));
+        for (std::size_t n = 0; n < 3; ++n) {
+            if (n != owner)
+                cell.emulator.kill(n);
         }
-    }
+        cell.emulator.blackholeStore(owner, true);
+        cell.emulator.drainUpstream("u0", true);
+        TimePoint drainedAt = cell.emulator.now();
+        cell.emulator.runFor(std::chrono::seconds(5));
+        for (const RunRecord& run : cell.emulator.history())
+            BOOST_TEST((run.from <= drainedAt + kInForce));
+    });
 }
 
 // A large configuration was arriving from the store when a second copy was requested from a peer over the same link.
@@ -394,24 +382,21 @@
 // A start without an answer was repeated after the owner had read that the upstream drains.
 BOOST_AUTO_TEST_CASE(RepeatedStartReachesADrainingUpstream)
 {
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            EmulatorSettings settings;
-            settings.seed = seed;
-            settings.upstreams = 1;
-            CellFixture cell(settings);
-            cell.emulator.cutUpstream("u0", true);
-            cell.emulator.submit(jobId(1), makeJob(makeScript(300), { makeStep(1, 1000) }), cell.other());
-            cell.emulator.runFor(std::chrono::milliseconds(300));
-            cell.emulator.drainUpstream("u0", true);
-            // Longer than between two readings of the directory, shorter than until the last repetition.
-            cell.emulator.runFor(std::chrono::milliseconds(600));
-            cell.emulator.cutUpstream("u0", false);
-            cell.emulator.runFor(std::chrono::seconds(5));
-            BOOST_TEST(cell.emulator.history().empty());
-        }
-    }
+    forEachSeed(8, [&](std::uint64_t seed) {
+        EmulatorSettings settings;
+        settings.seed = seed;
+        settings.upstreams = 1;
+        CellFixture cell(settings);
+        cell.emulator.cutUpstream("u0", true);
+        cell.emulator.submit(jobId(1), makeJob(makeScript(300), { makeStep(1, 1000) }), cell.other());
+        cell.emulator.runFor(std::chrono::milliseconds(300));
+        cell.emulator.drainUpstream("u0", true);
+        // Longer than between two readings of the directory, shorter than until the last repetition.
+        cell.emulator.runFor(std::chrono::milliseconds(600));
+        cell.emulator.cutUpstream("u0", false);
+        cell.emulator.runFor(std::chrono::seconds(5));
+        BOOST_TEST(cell.emulator.history().empty());
+    });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
