--- a/tests/soak/SoakCell.cpp
+++ b/tests/soak/SoakCell.cpp
@@ -64,7 +64,7 @@
 {
     constexpr int kTries = 20;
     for (int k = 0; k < kTries; ++k) {
-        auto instance = std::make_unique<standin::Instance>(kInstancePrefix + std::to_string(n), kDomainNames[n % kDomains], std::filesystem::current_path().string());
+        std::unique_ptr<standin::Instance> instance = std::make_unique<standin::Instance>(kInstancePrefix + std::to_string(n), kDomainNames[n % kDomains], std::filesystem::current_path().string());
         instance->writeSettings(m_gateAddress, "");
         if (m_ports.holdPortsOf(instance->name() + ".yaml"))
             return instance;
